--- /dev/null
+++ b/packages/wisterialug-cli/src/wisterialug_cli/__main__.py
@@ -0,0 +1,64 @@
+"""Entry point of the wisterialug command line."""
+
+from __future__ import annotations
+
+import argparse
+import os
+import sys
+from typing import TYPE_CHECKING
+
+from wisterialug_cli import (
+    client,
+    errors,
+    output,
+    table_commands,
+    work_commands,
+)
+from wisterialug_core import settings
+from wisterialug_core.schema import settings_pb2
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping, Sequence
+
+
+def build_parser() -> argparse.ArgumentParser:
+    """Returns the parser of all commands."""
+    parser = argparse.ArgumentParser(
+        prog="wisterialug", description="Operate a wisterialug system."
+    )
+    settings.SettingsTable(settings_pb2.ClientSettings).add_flags(parser)
+    parser.add_argument("--output", choices=("text", "json"), default="text")
+    commands = parser.add_subparsers(dest="command", required=True)
+    table_commands.add_parsers(commands)
+    work_commands.add_parsers(commands)
+    return parser
+
+
+def run(argv: Sequence[str], env: Mapping[str, str]) -> int:
+    """Runs one command; returns the exit code."""
+    args = build_parser().parse_args(argv)
+    table = settings.SettingsTable(settings_pb2.ClientSettings)
+    cfg = table.read(args, env)
+    if cfg.is_err():
+        for fault in cfg.err_value:
+            print(f"wisterialug: {fault}", file=sys.stderr)
+        return errors.ExitCode.USAGE
+    try:
+        answer = args.run(client.Client(cfg.ok_value), args)
+    except errors.CliError as exc:
+        print(f"wisterialug: {exc.title}", file=sys.stderr)
+        for detail in exc.details:
+            print(f"  {detail}", file=sys.stderr)
+        return exc.code
+    if answer is not None:
+        output.show(answer, args.output)
+    return errors.ExitCode.OK
+
+
+def main() -> int:
+    """Runs the command of the process's arguments."""
+    return run(sys.argv[1:], os.environ)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/packages/wisterialug-cli/src/wisterialug_cli/client.py
@@ -0,0 +1,72 @@
+"""Calls to the operators' interface of an entry VM."""
+
+from __future__ import annotations
+
+import json
+import pathlib
+from typing import TYPE_CHECKING
+
+import urllib3
+
+from wisterialug_cli import errors
+
+if TYPE_CHECKING:
+    from wisterialug_core.schema import settings_pb2
+
+_HTTP_OK = 200
+_CODES = {
+    401: errors.ExitCode.UNAUTHORIZED,
+    409: errors.ExitCode.CONFLICT,
+    503: errors.ExitCode.UNAVAILABLE,
+}
+
+
+class Client:
+    """Sends requests with the operators' token."""
+
+    def __init__(self, cfg: settings_pb2.ClientSettings) -> None:
+        self._cfg = cfg
+        self._pool = urllib3.PoolManager(num_pools=1, retries=False)
+        token = pathlib.Path(cfg.token_file).read_text().strip()
+        self._headers = {
+            "Authorization": f"Bearer {token}",
+            "Content-Type": "application/json",
+        }
+
+    def get(self, path: str) -> object:
+        """Gets JSON from the server."""
+        return self._call("GET", path, None, self._cfg.timeout_s)
+
+    def post(
+        self, path: str, body: dict, *, extra_time_s: float = 0.0
+    ) -> object:
+        """Posts JSON to the server and returns the JSON answer."""
+        return self._call(
+            "POST", path, body, self._cfg.timeout_s + extra_time_s
+        )
+
+    def _call(
+        self, method: str, path: str, body: dict | None, timeout_s: float
+    ) -> object:
+        try:
+            resp = self._pool.request(
+                method,
+                self._cfg.server + path,
+                body=None if body is None else json.dumps(body).encode(),
+                headers=self._headers,
+                timeout=timeout_s,
+            )
+            answer = json.loads(resp.data)
+        except (urllib3.exceptions.HTTPError, ValueError) as exc:
+            raise errors.CliError(
+                errors.ExitCode.UNREACHABLE,
+                f"{self._cfg.server} can't be reached",
+                [str(exc)],
+            ) from exc
+        if resp.status == _HTTP_OK:
+            return answer
+        raise errors.CliError(
+            _CODES.get(resp.status, errors.ExitCode.REFUSED),
+            answer.get("title", f"HTTP status {resp.status}"),
+            answer.get("details", []),
+        )
--- /dev/null
+++ b/packages/wisterialug-cli/src/wisterialug_cli/table_commands.py
@@ -0,0 +1,148 @@
+"""The commands on the table of weights and limits."""
+
+from __future__ import annotations
+
+import pathlib
+import sys
+from typing import TYPE_CHECKING
+
+from google.protobuf import json_format
+
+from wisterialug_cli import errors
+from wisterialug_core.decisions import limits_sheet
+
+if TYPE_CHECKING:
+    import argparse
+
+    from wisterialug_cli import client
+    from wisterialug_core.schema import config_pb2
+
+BASE_SUFFIX = ".base"
+DEFAULT_WAIT_S = 10.0
+
+
+def add_parsers(commands: argparse._SubParsersAction) -> None:
+    """Adds "table export", "table diff" and "table apply"."""
+    table = commands.add_parser("table", help="weights and limits")
+    verbs = table.add_subparsers(dest="verb", required=True)
+    export = verbs.add_parser("export", help="write the table as CSV")
+    export.add_argument(
+        "--file",
+        help="write here, and a copy to FILE.base that apply compares with",
+    )
+    export.set_defaults(run=_export)
+    for name, run, text in (
+        ("diff", _diff, "show what apply would change"),
+        ("apply", _apply, "change the cells that were edited"),
+    ):
+        verb = verbs.add_parser(name, help=text)
+        verb.add_argument("file", help="the edited CSV")
+        verb.add_argument(
+            "--base",
+            help="the CSV as exported (default: FILE.base, else the table now)",
+        )
+        verb.add_argument("--operator", default="", help="name for the log")
+        verb.set_defaults(run=run)
+        if name == "apply":
+            add_wait_flags(verb)
+
+
+def add_wait_flags(parser: argparse.ArgumentParser) -> None:
+    """Adds --wait and --wait-timeout-s."""
+    parser.add_argument(
+        "--wait", action="store_true", help="wait until in force everywhere"
+    )
+    parser.add_argument(
+        "--wait-timeout-s", type=float, default=DEFAULT_WAIT_S, metavar="S"
+    )
+
+
+def wait_in_force(
+    server: client.Client, args: argparse.Namespace, answer: dict
+) -> dict:
+    """Waits for a revision if asked to; fails if some VM does not have it."""
+    if not args.wait:
+        return answer
+    told = server.post(
+        "/v1/in-force",
+        {"revision": answer["revision"], "timeout_s": args.wait_timeout_s},
+        extra_time_s=args.wait_timeout_s,
+    )
+    if told["lagging"] or told["unreachable"]:
+        raise errors.CliError(
+            errors.ExitCode.NOT_IN_FORCE,
+            f"revision {told['revision']} is accepted, not in force everywhere",
+            [
+                "in force: " + ", ".join(told["in_force"]),
+                "lagging: " + ", ".join(told["lagging"]),
+                "unreachable: " + ", ".join(told["unreachable"]),
+            ],
+        )
+    return told
+
+
+def _export(server: client.Client, args: argparse.Namespace) -> object:
+    answer = server.get("/v1/table")
+    if not args.file:
+        sys.stdout.write(answer["csv"])
+        return None
+    pathlib.Path(args.file).write_text(answer["csv"])
+    pathlib.Path(args.file + BASE_SUFFIX).write_text(answer["csv"])
+    return {"revision": answer["revision"], "file": args.file}
+
+
+def _diff(server: client.Client, args: argparse.Namespace) -> object:
+    return [
+        {
+            "row": change.key,
+            "column": change.column,
+            "from": change.base,
+            "to": change.value,
+        }
+        for change in _changes(server, args)
+    ]
+
+
+def _apply(server: client.Client, args: argparse.Namespace) -> object:
+    changes = _changes(server, args)
+    answer = server.post(
+        "/v1/table/apply",
+        {
+            "changes": [json_format.MessageToDict(c) for c in changes],
+            "operator": args.operator,
+        },
+    )
+    answer = {"changed_cells": len(changes), **answer}
+    return wait_in_force(server, args, answer)
+
+
+def _changes(
+    server: client.Client, args: argparse.Namespace
+) -> list[config_pb2.CellChange]:
+    edited = _sheet(_read(args.file))
+    base_file = args.base or args.file + BASE_SUFFIX
+    if args.base or pathlib.Path(base_file).exists():
+        base = _sheet(_read(base_file))
+    else:
+        base = _sheet(server.get("/v1/table")["csv"])
+    return limits_sheet.diff(base, edited)
+
+
+def _read(name: str) -> str:
+    try:
+        return pathlib.Path(name).read_text()
+    except (OSError, UnicodeDecodeError) as exc:
+        raise errors.CliError(
+            errors.ExitCode.USAGE, f"{name} can't be read", [str(exc)]
+        ) from exc
+
+
+def _sheet(text: str) -> limits_sheet.Sheet:
+    parsed = limits_sheet.parse(text)
+    if parsed.is_err():
+        raise errors.CliError(
+            errors.ExitCode.REFUSED,
+            "the sheet is not valid",
+            [str(fault) for fault in parsed.err_value],
+        )
+    return parsed.ok_value
--- /dev/null
+++ b/packages/wisterialug-core/src/wisterialug_core/__init__.py
@@ -0,0 +1,1 @@
+"""Shared schema, settings and pure decisions of wisterialug."""
--- /dev/null
+++ b/packages/wisterialug-core/src/wisterialug_core/decisions/__init__.py
@@ -0,0 +1,1 @@
+"""Pure decisions: clock, randomness and inputs come in, actions go out."""
--- /dev/null
+++ b/packages/wisterialug-core/src/wisterialug_core/decisions/membership.py
@@ -0,0 +1,197 @@
+"""Which entry VMs are alive, from heartbeats that members pass on.
+
+Each member raises its own sequence number; records of one incarnation are
+joined by the highest sequence, so that loss, duplication and reordering
+of messages do no harm.  A silent member is suspected first and counts as
+dead later; any higher sequence refutes both.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import enum
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Iterable
+
+    from wisterialug_core import ids
+    from wisterialug_core.schema import peer_pb2
+
+
+class MemberState(enum.Enum):
+    """How a member is seen from this VM."""
+
+    ALIVE = "alive"
+    SUSPECT = "suspect"
+    DEAD = "dead"
+    LEAVING = "leaving"
+
+
+@dataclasses.dataclass(frozen=True)
+class Timeouts:
+    """Silence, in seconds, after which a member changes state."""
+
+    suspect_s: float
+    dead_s: float
+
+
+@dataclasses.dataclass
+class _Entry:
+    record: peer_pb2.Member
+    heard_at: float
+    listed: bool = True
+
+
+class MemberTable:
+    """The members that one VM knows, itself included."""
+
+    def __init__(
+        self, own: peer_pb2.Member, timeouts: Timeouts, now: float
+    ) -> None:
+        self.own = own
+        self._timeouts = timeouts
+        self._entries: dict[ids.VmId, _Entry] = {own.vm: _Entry(own, now)}
+
+    def beat(self) -> None:
+        """Raises the own sequence before the own record is sent."""
+        self.own.sequence += 1
+
+    def join(self, records: Iterable[peer_pb2.Member], now: float) -> None:
+        """Joins records of other members into this table."""
+        for record in records:
+            if record.vm == self.own.vm:
+                self._outbid(record)
+                continue
+            entry = self._entries.get(record.vm)
+            if entry is None:
+                self._entries[record.vm] = _Entry(record, now)
+            elif _newer(record, entry.record):
+                entry.record = record
+                entry.heard_at = now
+
+    def set_listed(self, vms: Iterable[peer_pb2.Member], now: float) -> None:
+        """Takes the addresses of the VM list; drops dead unlisted members.
+
+        Args:
+          vms: Records made from the VM list, with sequence 0.
+          now: Monotonic time in seconds.
+        """
+        listed = {record.vm: record for record in vms}
+        for vm, entry in list(self._entries.items()):
+            entry.listed = vm in listed
+            if (
+                vm != self.own.vm
+                and not entry.listed
+                and self.state(vm, now) is MemberState.DEAD
+            ):
+                del self._entries[vm]
+        for vm, record in listed.items():
+            entry = self._entries.get(vm)
+            if entry is None:
+                self._entries[vm] = _Entry(record, now)
+            elif entry.record.sequence == 0:
+                entry.record = record
+
+    def state(self, vm: ids.VmId, now: float) -> MemberState:
+        """Returns how a member is seen at a time."""
+        entry = self._entries.get(vm)
+        if entry is None:
+            return MemberState.DEAD
+        silence = now - entry.heard_at
+        if vm != self.own.vm and silence >= self._timeouts.dead_s:
+            return MemberState.DEAD
+        if entry.record.leaving:
+            return MemberState.LEAVING
+        if vm != self.own.vm and silence >= self._timeouts.suspect_s:
+            return MemberState.SUSPECT
+        return MemberState.ALIVE
+
+    def record(self, vm: ids.VmId) -> peer_pb2.Member | None:
+        """Returns the newest record of a member."""
+        entry = self._entries.get(vm)
+        return None if entry is None else entry.record
+
+    def records(self, data_centre: str | None = None) -> list[peer_pb2.Member]:
+        """Returns the records of all members, or of one data centre."""
+        return [
+            entry.record
+            for entry in self._entries.values()
+            if data_centre in (None, entry.record.data_centre)
+        ]
+
+    def peers(
+        self, now: float, states: frozenset[MemberState]
+    ) -> list[peer_pb2.Member]:
+        """Returns the records of other members in some states."""
+        return [
+            entry.record
+            for vm, entry in self._entries.items()
+            if vm != self.own.vm and self.state(vm, now) in states
+        ]
+
+    def local_targets(self) -> list[peer_pb2.Member]:
+        """Returns the peers of the own data centre, dead ones included."""
+        return [
+            record
+            for record in self.records(self.own.data_centre)
+            if record.vm != self.own.vm
+        ]
+
+    def remote_target(
+        self, now: float, rng: random.Random
+    ) -> peer_pb2.Member | None:
+        """Picks one member of one other data centre.
+
+        One message a round, whatever the number of data centres, keeps the
+        bytes a second of a VM constant.
+        """
+        by_centre: dict[str, list[peer_pb2.Member]] = {}
+        for record in self.records():
+            if record.data_centre != self.own.data_centre:
+                by_centre.setdefault(record.data_centre, []).append(record)
+        if not by_centre:
+            return None
+        members = by_centre[rng.choice(sorted(by_centre))]
+        alive = [
+            record
+            for record in members
+            if self.state(record.vm, now) is not MemberState.DEAD
+        ]
+        return rng.choice(alive or members)
+
+    def digest(
+        self, receiver_centre: str, fresh_s: float, now: float
+    ) -> list[peer_pb2.Member]:
+        """Returns the records to send to a peer.
+
+        A peer of another data centre gets the own data centre; a peer of
+        the own one gets also what was heard lately of other data centres.
+        """
+        local = self.records(self.own.data_centre)
+        if receiver_centre != self.own.data_centre:
+            return local
+        remote = [
+            entry.record
+            for entry in self._entries.values()
+            if entry.record.data_centre != self.own.data_centre
+            and now - entry.heard_at <= fresh_s
+        ]
+        return local + remote
+
+    def _outbid(self, record: peer_pb2.Member) -> None:
+        """Keeps the own sequence above any that others claim to have seen."""
+        if record.incarnation == self.own.incarnation:
+            self.own.sequence = max(self.own.sequence, record.sequence)
+
+
+def _newer(record: peer_pb2.Member, held: peer_pb2.Member) -> bool:
+    if record.sequence == 0:
+        return False
+    if record.incarnation == held.incarnation or held.sequence == 0:
+        return record.sequence > held.sequence
+    return (record.started_unix_ms, record.incarnation) > (
+        held.started_unix_ms,
+        held.incarnation,
+    )
--- /dev/null
+++ b/packages/wisterialug-core/src/wisterialug_core/decisions/resources.py
@@ -0,0 +1,72 @@
+"""Arithmetic on processors, memory and accelerators."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+from wisterialug_core.schema import work_pb2
+
+
+class Amount(NamedTuple):
+    """An amount of each resource of a worker."""
+
+    cpu_millicores: int = 0
+    memory_mib: int = 0
+    accelerators: int = 0
+
+    def plus(self, other: Amount) -> Amount:
+        """Returns the sum, resource by resource."""
+        return Amount(
+            self.cpu_millicores + other.cpu_millicores,
+            self.memory_mib + other.memory_mib,
+            self.accelerators + other.accelerators,
+        )
+
+    def minus(self, other: Amount) -> Amount:
+        """Returns the difference, resource by resource."""
+        return Amount(
+            self.cpu_millicores - other.cpu_millicores,
+            self.memory_mib - other.memory_mib,
+            self.accelerators - other.accelerators,
+        )
+
+    def at_least(self, other: Amount) -> Amount:
+        """Returns the larger of both, resource by resource."""
+        return Amount(*(max(a, b) for a, b in zip(self, other, strict=True)))
+
+    def fits(self, room: Amount) -> bool:
+        """Tells whether this amount fits into a room."""
+        return (
+            self.cpu_millicores <= room.cpu_millicores
+            and self.memory_mib <= room.memory_mib
+            and self.accelerators <= room.accelerators
+        )
+
+    def dominant_share(self, total: Amount) -> float:
+        """Returns the largest part of a total that this amount takes."""
+        return max(
+            (mine / all_ if all_ else (1.0 if mine else 0.0))
+            for mine, all_ in zip(self, total, strict=True)
+        )
+
+    def shortage(self, room: Amount) -> str:
+        """Returns the first resource that a room lacks, or ''."""
+        for name, need, free in zip(self._fields, self, room, strict=True):
+            if need > free:
+                return name
+        return ""
+
+
+ZERO = Amount()
+
+
+def of(message: work_pb2.Resources) -> Amount:
+    """Returns the amount that a message tells."""
+    return Amount(
+        message.cpu_millicores, message.memory_mib, message.accelerators
+    )
+
+
+def message(amount: Amount) -> work_pb2.Resources:
+    """Returns a message that tells an amount."""
+    return work_pb2.Resources(**amount._asdict())
--- /dev/null
+++ b/packages/wisterialug-core/src/wisterialug_core/decisions/roster.py
@@ -0,0 +1,208 @@
+"""Division of each instance's slots among a data centre's entry VMs.
+
+The roster is a row of the table service with a growing epoch.  A VM obeys
+the smallest share of all epochs that it has seen until every other member
+has acknowledged the newest one; only then may its share grow.  So the
+shares of all VMs never add up to more than an instance has, whichever
+epoch each of them knows.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import hashlib
+from typing import TYPE_CHECKING
+
+from wisterialug_core.schema import work_pb2
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+    from wisterialug_core import ids
+
+
+def share(
+    roster: work_pb2.Roster, session: ids.SessionId, instance: str, slots: int
+) -> int:
+    """Returns how many of an instance's slots a session has in a roster.
+
+    Slots are dealt round, from a member that depends on the instance, so
+    that the remainders are spread over the members.
+    """
+    sessions = [
+        member.session
+        for member in sorted(roster.members, key=lambda m: m.place)
+    ]
+    if session not in sessions:
+        return 0
+    count = len(sessions)
+    digest = hashlib.blake2b(instance.encode(), digest_size=4).digest()
+    offset = int.from_bytes(digest, "big") % count
+    place = (sessions.index(session) - offset) % count
+    return slots // count + (1 if place < slots % count else 0)
+
+
+def with_member(
+    roster: work_pb2.Roster, vm: ids.VmId, session: ids.SessionId
+) -> work_pb2.Roster:
+    """Returns the next epoch with a member added at the first free place."""
+    new = work_pb2.Roster(epoch=roster.epoch + 1, members=roster.members)
+    taken = {member.place for member in new.members}
+    place = next(n for n in range(len(taken) + 1) if n not in taken)
+    new.members.add(vm=vm, session=session, place=place, joined_epoch=new.epoch)
+    return new
+
+
+def without(
+    roster: work_pb2.Roster, sessions: set[ids.SessionId]
+) -> work_pb2.Roster:
+    """Returns the next epoch without some members."""
+    kept = [m for m in roster.members if m.session not in sessions]
+    return work_pb2.Roster(epoch=roster.epoch + 1, members=kept)
+
+
+@dataclasses.dataclass
+class _Fence:
+    """A removed member that may still use its slots for a while."""
+
+    epoch: int
+    until: float
+
+
+class SlotShares:
+    """The slots of each instance that this VM may use now."""
+
+    def __init__(
+        self, session: ids.SessionId, grant_s: float, quarantine_s: float
+    ) -> None:
+        self._session = session
+        self._grant_s = grant_s
+        self._quarantine_s = quarantine_s
+        self._roster = work_pb2.Roster()
+        # Rosters whose shares still bound this VM's own.
+        self._binding: list[work_pb2.Roster] = [work_pb2.Roster()]
+        self._granted: dict[ids.SessionId, float] = {}
+        self._received: dict[ids.SessionId, float] = {}
+        self._fences: list[_Fence] = []
+        self._acknowledged = 0
+        self._limits: dict[tuple[str, int], int] = {}
+
+    @property
+    def roster(self) -> work_pb2.Roster:
+        """The newest roster known."""
+        return self._roster
+
+    @property
+    def acknowledged_epoch(self) -> int:
+        """The newest epoch that this VM has told its peers it obeys."""
+        return self._acknowledged
+
+    def learn(self, roster: work_pb2.Roster, now: float) -> bool:
+        """Takes a roster read from the table; ignores older ones."""
+        if roster.epoch <= self._roster.epoch:
+            return False
+        kept = {member.session for member in roster.members}
+        for member in self._roster.members:
+            if member.session in kept or member.session == self._session:
+                continue
+            until = max(now, self._granted.get(member.session, now))
+            self._fences.append(
+                _Fence(roster.epoch, until + self._quarantine_s)
+            )
+        self._roster = roster
+        self._binding.append(roster)
+        self._limits.clear()
+        return True
+
+    def is_member(self) -> bool:
+        """Tells whether the newest roster has this VM's session."""
+        return any(
+            member.session == self._session for member in self._roster.members
+        )
+
+    def limit(self, instance: str, slots: int) -> int:
+        """Returns the slots of an instance that this VM may fill."""
+        limit = self._limits.get((instance, slots))
+        if limit is None:
+            limit = min(
+                share(roster, self._session, instance, slots)
+                for roster in self._binding
+            )
+            self._limits[instance, slots] = limit
+        return limit
+
+    def acknowledge(
+        self, in_flight: Mapping[str, int], slots: int, now: float
+    ) -> int:
+        """Acknowledges the newest epoch once this VM surely obeys it.
+
+        Args:
+          in_flight: Requests in flight of this VM by instance.
+          slots: Slots of each instance.
+          now: Monotonic time in seconds.
+
+        Returns:
+          The newest acknowledged epoch.
+        """
+        self._fences = [fence for fence in self._fences if fence.until > now]
+        blocked = bool(self._fences) or any(
+            count > self.limit(instance, slots)
+            for instance, count in in_flight.items()
+        )
+        if not blocked:
+            self._acknowledged = self._roster.epoch
+        return self._acknowledged
+
+    def peers_acknowledged(self, epochs: Mapping[ids.SessionId, int]) -> bool:
+        """Lets the own share grow once all members obey the newest roster.
+
+        Args:
+          epochs: Highest acknowledged epoch by session.
+
+        Returns:
+          Whether all other members obey the newest epoch.
+        """
+        if self._acknowledged < self._roster.epoch:
+            return False
+        for member in self._roster.members:
+            if member.session == self._session:
+                continue
+            if epochs.get(member.session, 0) < self._roster.epoch:
+                return False
+        if len(self._binding) > 1:
+            self._binding = [self._roster]
+            self._limits.clear()
+        return True
+
+    def grant(self, session: ids.SessionId, now: float) -> float:
+        """Lets a member count on its slots; returns for how many seconds."""
+        members = {member.session for member in self._roster.members}
+        if session not in members or self._session not in members:
+            return 0.0
+        self._granted[session] = now + self._grant_s
+        return self._grant_s
+
+    def granted(
+        self, session: ids.SessionId, seconds: float, sent_at: float
+    ) -> None:
+        """Takes a grant that a peer gave in answer to a message."""
+        until = sent_at + seconds
+        self._received[session] = max(until, self._received.get(session, until))
+
+    def usable(self, session_valid: bool, now: float) -> bool:
+        """Tells whether nobody can have taken this VM's slots away.
+
+        Removal needs a lapsed session and, from each remaining member, the
+        end of all grants that it gave.  A lone member is removed only when
+        the VM list no longer has it.
+        """
+        if not self.is_member():
+            return False
+        if session_valid or len(self._roster.members) == 1:
+            return True
+        members = {member.session for member in self._roster.members}
+        return any(
+            until > now
+            for session, until in self._received.items()
+            if session in members
+        )
--- /dev/null
+++ b/packages/wisterialug-core/src/wisterialug_core/decisions/sessions.py
@@ -0,0 +1,91 @@
+"""Leases that VMs hold as sessions in the table service.
+
+The holder counts its lease from the moment it sent the renewal.  An
+observer counts from its own first read of an unchanged row, and starts
+over when a read fails.  So no clocks are compared, and an outage of the
+table service lets nobody's session lapse.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+    from wisterialug_core import ids
+
+# Part of a lease given up for clocks that run at different rates.
+DRIFT_MARGIN_RATIO = 0.1
+
+
+@dataclasses.dataclass
+class OwnSession:
+    """The session that this VM holds."""
+
+    lease_s: float
+    valid_until: float = float("-inf")
+    ended: bool = False
+
+    def renewed(self, sent_at: float) -> None:
+        """Takes a renewal that the table service confirmed."""
+        if not self.ended:
+            usable_s = self.lease_s * (1 - DRIFT_MARGIN_RATIO)
+            self.valid_until = max(self.valid_until, sent_at + usable_s)
+
+    def lost(self) -> None:
+        """Takes the news that another VM has ended the session."""
+        self.ended = True
+        self.valid_until = float("-inf")
+
+    def valid(self, now: float) -> bool:
+        """Tells whether the lease surely still holds."""
+        return now < self.valid_until
+
+
+@dataclasses.dataclass
+class _Observation:
+    version: int
+    since: float
+
+
+class SessionWatch:
+    """Finds sessions that their holders no longer renew."""
+
+    def __init__(self, lease_s: float) -> None:
+        self._wait_s = lease_s * (1 + DRIFT_MARGIN_RATIO)
+        self._seen: dict[ids.SessionId, _Observation] = {}
+        self._last_read: float | None = None
+
+    def observe(
+        self, versions: Mapping[ids.SessionId, int], sent_at: float, now: float
+    ) -> None:
+        """Takes one successful read of all sessions.
+
+        Args:
+          versions: Row version by session.
+          sent_at: When the read was sent, monotonic seconds.
+          now: When the answer came.
+        """
+        if self._last_read is not None and (
+            sent_at - self._last_read > self._wait_s / 2
+        ):
+            self._seen.clear()
+        self._last_read = now
+        for session in self._seen.keys() - versions.keys():
+            del self._seen[session]
+        for session, version in versions.items():
+            seen = self._seen.get(session)
+            if seen is None or seen.version != version:
+                self._seen[session] = _Observation(version, now)
+
+    def read_failed(self) -> None:
+        """Starts all observations over after a failed read."""
+        self._seen.clear()
+        self._last_read = None
+
+    def lapsed(self, session: ids.SessionId, sent_at: float) -> bool:
+        """Tells whether a read sent at a time found the session lapsed."""
+        seen = self._seen.get(session)
+        return seen is not None and sent_at - seen.since >= self._wait_s
--- /dev/null
+++ b/packages/wisterialug-core/src/wisterialug_core/decisions/worker_book.py
@@ -0,0 +1,79 @@
+"""What a shard's owner holds for each worker: attempts and messages."""
+
+from __future__ import annotations
+
+import dataclasses
+import enum
+from typing import NamedTuple
+
+from wisterialug_core.decisions import resources, worker_health
+
+
+class AttemptKey(NamedTuple):
+    """One attempt of one task."""
+
+    task: str
+    attempt: int
+
+
+class AttemptStage(enum.Enum):
+    """How far an attempt on a worker has come, as the owner knows it."""
+
+    PLANNED = "planned"  # Reserved, not durable: it can be undone.
+    COMMITTED = "committed"  # Durable; may have been sent.
+    RUNNING = "running"  # The worker reported it.
+    ENDED = "ended"  # The worker reported its end; not durable yet.
+
+
+@dataclasses.dataclass
+class HeldAttempt:
+    """An attempt that holds resources of a worker."""
+
+    key: AttemptKey
+    need: resources.Amount
+    stage: AttemptStage
+    sent: bool = False
+    stopping: bool = False
+    progress_ms: int = 0
+
+
+@dataclasses.dataclass
+class WorkerBook:
+    """The owner's account of one worker."""
+
+    id: str
+    capacity: resources.Amount
+    listed: bool = True
+    leaving: bool = False
+    incarnation: str = ""
+    clock_ms: int = 0
+    # When this owner last got an answer; None before the first contact.
+    answered_at: float | None = None
+    unlisted_at: float | None = None
+    held: dict[AttemptKey, HeldAttempt] = dataclasses.field(
+        default_factory=dict
+    )
+    acknowledge: set[AttemptKey] = dataclasses.field(default_factory=set)
+    health: worker_health.WorkerHealth = dataclasses.field(
+        default_factory=worker_health.WorkerHealth
+    )
+
+    def reserved(self) -> resources.Amount:
+        """Returns what all held attempts take."""
+        total = resources.ZERO
+        for attempt in self.held.values():
+            total = total.plus(attempt.need)
+        return total
+
+    def free(self) -> resources.Amount:
+        """Returns what no attempt holds."""
+        return self.capacity.minus(self.reserved())
+
+    def takes_starts(self, now: float) -> bool:
+        """Tells whether tasks may be started on this worker."""
+        return (
+            self.listed
+            and not self.leaving
+            and self.answered_at is not None
+            and self.health.room_for_starts(len(self.held), now)
+        )
--- /dev/null
+++ b/packages/wisterialug-core/src/wisterialug_core/schema/__init__.py
@@ -0,0 +1,1 @@
+"""Code generated from schema/; regenerate with schema/generate.sh."""
--- /dev/null
+++ b/packages/wisterialug-core/src/wisterialug_core/util/__init__.py
@@ -0,0 +1,1 @@
+"""Small helpers that several packages need."""
--- /dev/null
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The entry VM daemon of wisterialug."""
--- /dev/null
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/adapters/__init__.py
@@ -0,0 +1,1 @@
+"""Thin adapters to the platform, to upstreams and to peers."""
--- /dev/null
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/answers.py
@@ -0,0 +1,73 @@
+"""Requests of callers and their answers, apart from any transport."""
+
+from __future__ import annotations
+
+import dataclasses
+import enum
+import json
+
+
+class Outcome(enum.Enum):
+    """What a caller is told of a request."""
+
+    DONE = "done"
+    NOT_RUN = "not-run"
+    UNKNOWN = "unknown"
+
+
+@dataclasses.dataclass(frozen=True)
+class CallerRequest:
+    """One request of a caller.
+
+    Attributes:
+      deadline: Monotonic time by which the answer must be there.
+      key: Idempotency key, or ''.
+      hops: How many entry VMs have handed the request on.
+      repeatable: Whether running the request twice does no harm.
+    """
+
+    customer: str
+    service: str
+    method: str
+    path: str
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+    deadline: float
+    key: str = ""
+    hops: int = 0
+    repeatable: bool = False
+
+
+@dataclasses.dataclass(frozen=True)
+class CallerAnswer:
+    """The whole answer to a request."""
+
+    outcome: Outcome
+    status: int
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+    reason: str = ""
+
+
+def problem(
+    outcome: Outcome,
+    status: int,
+    reason: str,
+    detail: str,
+    *,
+    retry_after_s: int | None = None,
+) -> CallerAnswer:
+    """Returns an answer with a problem body (RFC 9457)."""
+    headers = [("Content-Type", "application/problem+json")]
+    if retry_after_s is not None:
+        headers.append(("Retry-After", str(retry_after_s)))
+    body = json.dumps(
+        {
+            "type": f"urn:wisterialug:problem:{reason}",
+            "title": reason.replace("-", " "),
+            "status": status,
+            "detail": detail,
+            "outcome": outcome.value,
+        }
+    ).encode()
+    return CallerAnswer(outcome, status, tuple(headers), body, reason)
--- /dev/null
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/http/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP interfaces for callers, operators and monitoring."""
--- /dev/null
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/http/callers.py
@@ -0,0 +1,176 @@
+"""The callers' interface: requests to services over plain HTTP."""
+
+from __future__ import annotations
+
+import time
+from typing import TYPE_CHECKING
+
+from wisterialug_daemon import answers
+from wisterialug_daemon.http import server
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable
+
+    from wisterialug_daemon import router
+
+OUTCOME_HEADER = "Wisterialug-Outcome"
+CUSTOMER_VARIABLE = "HTTP_WISTERIALUG_CUSTOMER"
+TIMEOUT_VARIABLE = "HTTP_WISTERIALUG_TIMEOUT_MS"
+KEY_VARIABLE = "HTTP_IDEMPOTENCY_KEY"
+PATH_PREFIX = "services"
+MAX_TIMEOUT_MS = 600_000
+# Headers that belong to one connection, or that this VM sets itself.
+_DROPPED_HEADERS = frozenset(
+    {
+        "connection",
+        "content-length",
+        "expect",
+        "host",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+        "date",
+        "server",
+        OUTCOME_HEADER.lower(),
+    }
+)
+
+
+class CallersApplication:
+    """The WSGI application on the callers' port."""
+
+    def __init__(
+        self,
+        router_: router.Router,
+        ready: Callable[[], bool],
+        timeout_ms_of: Callable[[str, str], int],
+        max_body_bytes: int,
+        safe_methods: frozenset[str],
+    ) -> None:
+        self._router = router_
+        self._ready = ready
+        self._timeout_ms_of = timeout_ms_of
+        self._max_body_bytes = max_body_bytes
+        self._safe_methods = safe_methods
+
+    def __call__(
+        self, environ: dict, start_response: server.StartResponse
+    ) -> Iterable[bytes]:
+        """Answers one request."""
+        answer = self._answer(environ)
+        headers = [
+            (name, value)
+            for name, value in answer.headers
+            if name.lower() not in _DROPPED_HEADERS
+        ]
+        headers.append((OUTCOME_HEADER, answer.outcome.value))
+        headers.append(("Content-Length", str(len(answer.body))))
+        start_response(server.status_line(answer.status), headers)
+        return [answer.body]
+
+    def _answer(self, environ: dict) -> answers.CallerAnswer:
+        if not self._ready():
+            return _refuse(
+                503, "not-ready", "this VM has no config yet", retry_after_s=1
+            )
+        body = self._body(environ)
+        if isinstance(body, answers.CallerAnswer):
+            return body
+        req = self._request(environ, body)
+        if isinstance(req, answers.CallerAnswer):
+            return req
+        return self._router.handle(req)
+
+    def _body(self, environ: dict) -> bytes | answers.CallerAnswer:
+        """Reads the whole body, or says why not."""
+        if environ.get("HTTP_TRANSFER_ENCODING"):
+            return _refuse(411, "length-required", "send a Content-Length")
+        length = int(environ.get("CONTENT_LENGTH") or 0)
+        if length > self._max_body_bytes:
+            return _refuse(
+                413,
+                "body-too-large",
+                f"a body has at most {self._max_body_bytes} bytes",
+            )
+        body = environ["wsgi.input"].read(length) if length else b""
+        if len(body) != length:
+            return _refuse(400, "body-cut-short", "the body ended too early")
+        return body
+
+    def _request(
+        self, environ: dict, body: bytes
+    ) -> answers.CallerRequest | answers.CallerAnswer:
+        parts = environ["RAW_PATH_INFO"].split("/", 3)
+        if len(parts) < 3 or parts[1] != PATH_PREFIX or not parts[2]:
+            return _refuse(
+                404, "unknown-path", f"use /{PATH_PREFIX}/SERVICE/PATH"
+            )
+        customer = environ.get(CUSTOMER_VARIABLE, "")
+        if not customer:
+            return _refuse(
+                400,
+                "customer-required",
+                "the header Wisterialug-Customer is missing",
+            )
+        timeout_ms = self._timeout_ms(environ, customer, parts[2])
+        if timeout_ms is None:
+            return _refuse(
+                400,
+                "bad-timeout",
+                "the header Wisterialug-Timeout-Ms takes a whole number"
+                f" from 1 to {MAX_TIMEOUT_MS}",
+            )
+        path = "/" + (parts[3] if len(parts) > 3 else "")
+        if environ.get("QUERY_STRING"):
+            path += "?" + environ["QUERY_STRING"]
+        method = environ["REQUEST_METHOD"]
+        return answers.CallerRequest(
+            customer,
+            parts[2],
+            method,
+            path,
+            tuple(_headers(environ)),
+            body,
+            time.monotonic() + timeout_ms / 1000,
+            key=environ.get(KEY_VARIABLE, ""),
+            repeatable=method in self._safe_methods,
+        )
+
+    def _timeout_ms(
+        self, environ: dict, customer: str, service: str
+    ) -> int | None:
+        text = environ.get(TIMEOUT_VARIABLE)
+        if text is None:
+            return self._timeout_ms_of(customer, service)
+        if text.isascii() and text.isdigit():
+            if 1 <= int(text) <= MAX_TIMEOUT_MS:
+                return int(text)
+        return None
+
+
+def _headers(environ: dict) -> Iterable[tuple[str, str]]:
+    """Returns the end-to-end headers of a request."""
+    if environ.get("CONTENT_TYPE"):
+        yield "Content-Type", environ["CONTENT_TYPE"]
+    for name, value in environ.items():
+        if not name.startswith("HTTP_"):
+            continue
+        header = name.removeprefix("HTTP_").replace("_", "-").lower()
+        if header not in _DROPPED_HEADERS:
+            yield header, value
+
+
+def _refuse(
+    status: int, reason: str, detail: str, *, retry_after_s: int | None = None
+) -> answers.CallerAnswer:
+    return answers.problem(
+        answers.Outcome.NOT_RUN,
+        status,
+        reason,
+        detail,
+        retry_after_s=retry_after_s,
+    )
--- /dev/null
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/http/server.py
@@ -0,0 +1,99 @@
+"""WSGI servers on eventlet, with a graceful shutdown."""
+
+from __future__ import annotations
+
+import contextlib
+import json
+from typing import TYPE_CHECKING
+
+import eventlet
+import eventlet.greenthread
+import eventlet.wsgi
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable
+
+BACKLOG = 512
+MAX_CONNECTIONS = 4096
+KEEPALIVE_S = 75.0
+
+StartResponse = "Callable[[str, list[tuple[str, str]]], object]"
+
+_REASONS = {
+    200: "OK",
+    201: "Created",
+    400: "Bad Request",
+    401: "Unauthorized",
+    403: "Forbidden",
+    404: "Not Found",
+    405: "Method Not Allowed",
+    409: "Conflict",
+    411: "Length Required",
+    413: "Content Too Large",
+    422: "Unprocessable Content",
+    429: "Too Many Requests",
+    500: "Internal Server Error",
+    503: "Service Unavailable",
+    504: "Gateway Timeout",
+}
+
+
+class _Protocol(eventlet.wsgi.HttpProtocol):
+    """HTTP/1.1 without a line for each request."""
+
+    protocol_version = "HTTP/1.1"
+
+
+class WsgiServer:
+    """Serves one WSGI application on one port."""
+
+    def __init__(
+        self, ip: str, port: int, application: Callable[..., Iterable[bytes]]
+    ) -> None:
+        self._socket = eventlet.listen((ip, port), backlog=BACKLOG)
+        self._pool = eventlet.GreenPool(MAX_CONNECTIONS)
+        # Shared with the server, which reads it for each answer.
+        self._started = eventlet.event.Event()
+        self._thread = eventlet.spawn(
+            eventlet.wsgi.server,
+            self._socket,
+            application,
+            server_event=self._started,
+            custom_pool=self._pool,
+            protocol=_Protocol,
+            keepalive=KEEPALIVE_S,
+            log_output=False,
+            debug=False,
+        )
+
+    def end_keepalive(self) -> None:
+        """Closes each connection after its next answer."""
+        self._started.wait().keepalive = False
+
+    def close(self, timeout_s: float = 0.0) -> None:
+        """Stops accepting, then waits for requests in flight."""
+        self._socket.close()
+        eventlet.greenthread.kill(self._thread)
+        with contextlib.suppress(eventlet.Timeout):
+            with eventlet.Timeout(max(0.01, timeout_s)):
+                self._pool.waitall()
+
+
+def status_line(status: int) -> str:
+    """Returns a status with its reason phrase."""
+    return f"{status} {_REASONS.get(status, 'Status')}"
+
+
+def json_answer(
+    start_response: StartResponse, status: int, body: object
+) -> list[bytes]:
+    """Answers with a JSON body."""
+    data = json.dumps(body).encode()
+    start_response(
+        status_line(status),
+        [
+            ("Content-Type", "application/json"),
+            ("Content-Length", str(len(data))),
+        ],
+    )
+    return [data]
--- /dev/null
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/presence.py
@@ -0,0 +1,334 @@
+"""This VM's session, its data centre's roster, and the shards to own."""
+
+from __future__ import annotations
+
+import hashlib
+import time
+from typing import TYPE_CHECKING
+
+from wisterialug_core.decisions import roster as roster_lib
+from wisterialug_core.decisions import sessions
+from wisterialug_core.schema import work_pb2
+from wisterialug_daemon import errors, events, logs, metrics
+from wisterialug_daemon.adapters import table as table_lib
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Mapping
+
+    from wisterialug_daemon import members as members_lib
+    from wisterialug_daemon import vm_inventory
+
+# Time that others leave the preferred VM to claim a shard.
+CLAIM_GRACE_S = 1.0
+RENEWALS_PER_LEASE = 3
+
+
+class Presence:
+    """Renews the session and watches all that the data centre agrees on."""
+
+    def __init__(
+        self,
+        own_vm: str,
+        session: str,
+        data_centre: str,
+        lease_s: float,
+        table: table_lib.TableClient,
+        members: members_lib.Members,
+        inventory: vm_inventory.VmInventory,
+        shares: roster_lib.SlotShares,
+        registry: events.EventRegistry,
+    ) -> None:
+        self.session = sessions.OwnSession(lease_s)
+        self.shard_rows: dict[str, tuple[int, work_pb2.ShardOwner]] = {}
+        self.in_flight: Callable[[], Mapping[str, int]] = dict
+        self.slots_per_instance = 1
+        self._own_vm = own_vm
+        self._session_id = session
+        self._lease_s = lease_s
+        self._prefix = f"dc/{data_centre}/"
+        self._data_centre = data_centre
+        self._table = table
+        self._members = members
+        self._inventory = inventory
+        self._shares = shares
+        self._events = registry
+        self._watch = sessions.SessionWatch(lease_s)
+        self._session_rows: dict[str, tuple[int, work_pb2.Session]] = {}
+        self._own_version = 0
+        self._renewals = 0
+        self._roster_version = 0
+        self._unowned_since: dict[str, float] = {}
+        self._leaving = False
+
+    # Own session.
+
+    def renew(self) -> None:
+        """Renews the session; makes it on the first call."""
+        if self.session.ended or self._leaving:
+            return
+        sent_at = time.monotonic()
+        self._renewals += 1
+        outcome = self._put_session(ended=False, settle_s=self._lease_s / 2)
+        if outcome.is_ok():
+            self._own_version = outcome.ok_value
+            self.session.renewed(sent_at)
+        elif isinstance(outcome.err_value, errors.TableConflictError):
+            self.session.lost()
+            logs.warning(
+                "session-ended-by-another-vm", session=self._session_id
+            )
+
+    def _put_session(self, *, ended: bool, settle_s: float):  # noqa: ANN202
+        key = self._session_key(self._session_id)
+        row = work_pb2.Session(
+            vm=self._own_vm,
+            session=self._session_id,
+            renewals=self._renewals,
+            ended=ended,
+        )
+        return self._table.commit(
+            table_lib.Transaction(
+                (table_lib.Condition(key, self._own_version),),
+                ((key, row.SerializeToString()),),
+            ),
+            settle_s,
+            urgent=True,
+        )
+
+    # Watching.
+
+    def watch(self) -> None:
+        """Reads the data centre's rows and acts on what lapsed."""
+        sent_at = time.monotonic()
+        rows = self._table.scan(self._prefix, urgent=True)
+        now = time.monotonic()
+        if rows.is_err():
+            self._watch.read_failed()
+        else:
+            self._take_rows(rows.ok_value, sent_at, now)
+            self._tend_roster(sent_at)
+        self.settle_shares()
+
+    def settle_shares(self) -> None:
+        """Acknowledges the roster and lets the own share grow."""
+        now = time.monotonic()
+        epoch = self._shares.acknowledge(
+            self.in_flight(), self.slots_per_instance, now
+        )
+        self._members.table.own.roster_epoch = epoch
+        self._shares.peers_acknowledged(self._members.roster_epochs())
+        metrics.ROSTER_EPOCH.set(self._shares.roster.epoch)
+        usable = self.slots_usable()
+        metrics.SLOTS_USABLE.set(int(usable))
+
+    def slots_usable(self) -> bool:
+        """Tells whether this VM may use its slots."""
+        now = time.monotonic()
+        return self._shares.usable(self.session.valid(now), now)
+
+    def _take_rows(
+        self, rows: list[table_lib.Row], sent_at: float, now: float
+    ) -> None:
+        self._session_rows.clear()
+        self.shard_rows.clear()
+        for row in rows:
+            kind, _, name = row.key.removeprefix(self._prefix).partition("/")
+            if row.value is None:
+                continue
+            if kind == "session":
+                session = work_pb2.Session.FromString(row.value)
+                self._session_rows[name] = (row.version, session)
+            elif kind == "shard":
+                owner = work_pb2.ShardOwner.FromString(row.value)
+                self.shard_rows[name] = (row.version, owner)
+            elif kind == "roster":
+                self._roster_version = row.version
+                self._learn(work_pb2.Roster.FromString(row.value), now)
+        versions = {
+            name: version for name, (version, _) in self._session_rows.items()
+        }
+        self._watch.observe(versions, sent_at, now)
+
+    def _learn(self, roster: work_pb2.Roster, now: float) -> None:
+        if self._shares.learn(roster, now):
+            members = ",".join(member.vm for member in roster.members)
+            logs.event("roster-changed", epoch=roster.epoch, members=members)
+            self._events.emit(events.Event.ROSTER_CHANGED)
+
+    # Roster.
+
+    def _tend_roster(self, sent_at: float) -> None:
+        """Removes lapsed members, then joins if this VM is not in."""
+        roster = self._shares.roster
+        gone = {
+            member.session
+            for member in roster.members
+            if self._member_is_gone(roster, member, sent_at)
+        }
+        if gone:
+            self._write_roster(roster_lib.without(roster, gone), gone)
+        elif not self._leaving and not self._shares.is_member():
+            if self.session.valid(time.monotonic()):
+                self._write_roster(
+                    roster_lib.with_member(
+                        roster, self._own_vm, self._session_id
+                    ),
+                    set(),
+                )
+
+    def _member_is_gone(
+        self,
+        roster: work_pb2.Roster,
+        member: work_pb2.RosterMember,
+        sent_at: float,
+    ) -> bool:
+        if member.session == self._session_id:
+            return False
+        if member.vm == self._own_vm:
+            # An earlier life of this VM, whose ports are this one's now.
+            return True
+        version_row = self._session_rows.get(member.session)
+        if version_row is None or version_row[1].ended:
+            return True
+        if not self._watch.lapsed(member.session, sent_at):
+            return False
+        # A lone member counts on its slots without a session, so it is only
+        # removed when the platform says that its VM is gone.
+        return len(roster.members) > 1 or not self._inventory.has(
+            member.vm, member.session
+        )
+
+    def _write_roster(self, roster: work_pb2.Roster, ending: set[str]) -> None:
+        key = self._prefix + "roster/all"
+        conditions = [table_lib.Condition(key, self._roster_version)]
+        puts = [(key, roster.SerializeToString())]
+        for session in ending:
+            self._add_session_end(session, conditions, puts)
+        outcome = self._table.commit(
+            table_lib.Transaction(tuple(conditions), tuple(puts)),
+            self._lease_s / 2,
+            urgent=True,
+        )
+        if outcome.is_ok():
+            self._roster_version = outcome.ok_value
+            self._learn(roster, time.monotonic())
+
+    def _add_session_end(
+        self,
+        session: str,
+        conditions: list[table_lib.Condition],
+        puts: list[tuple[str, bytes]],
+    ) -> None:
+        """Ends a lapsed session in the same transaction."""
+        held = self._session_rows.get(session)
+        if held is None or held[1].ended:
+            return
+        version, row = held
+        ended = work_pb2.Session()
+        ended.CopyFrom(row)
+        ended.ended = True
+        conditions.append(
+            table_lib.Condition(self._session_key(session), version)
+        )
+        puts.append((self._session_key(session), ended.SerializeToString()))
+
+    # Shards.
+
+    def claimable(self, shards: set[str]) -> list[str]:
+        """Returns the shards that this VM should try to take now."""
+        now = time.monotonic()
+        if self._leaving or not self.session.valid(now):
+            return []
+        alive = sorted(
+            record.vm for record in self._members.alive_in_own_centre()
+        )
+        wanted = []
+        for shard in sorted(shards):
+            if not self._ownerless(shard, now):
+                self._unowned_since.pop(shard, None)
+                continue
+            since = self._unowned_since.setdefault(shard, now)
+            preferred = max(alive, key=lambda vm: _rank(vm, shard))
+            if preferred == self._own_vm or now - since > CLAIM_GRACE_S:
+                wanted.append(shard)
+        return wanted
+
+    def _ownerless(self, shard: str, now: float) -> bool:
+        held = self.shard_rows.get(shard)
+        if held is None or not held[1].session:
+            return True
+        session = held[1].session
+        if held[1].vm == self._own_vm and session != self._session_id:
+            return True
+        row = self._session_rows.get(session)
+        return row is None or row[1].ended or self._watch.lapsed(session, now)
+
+    def claim(self, shard: str) -> tuple[int, int] | None:
+        """Takes a shard; returns its epoch and row version."""
+        version, held = self.shard_rows.get(shard, (0, work_pb2.ShardOwner()))
+        key = self.shard_key(shard)
+        mine = work_pb2.ShardOwner(
+            vm=self._own_vm, session=self._session_id, epoch=held.epoch + 1
+        )
+        conditions = [
+            table_lib.Condition(key, version),
+            table_lib.Condition(
+                self._session_key(self._session_id), self._own_version
+            ),
+        ]
+        puts = [(key, mine.SerializeToString())]
+        if held.session and held.session != self._session_id:
+            self._add_session_end(held.session, conditions, puts)
+        outcome = self._table.commit(
+            table_lib.Transaction(tuple(conditions), tuple(puts)),
+            self._lease_s / 2,
+            urgent=True,
+        )
+        if outcome.is_err():
+            return None
+        logs.event("shard-taken", shard=shard, epoch=mine.epoch)
+        self.shard_rows[shard] = (outcome.ok_value, mine)
+        return mine.epoch, outcome.ok_value
+
+    def release_shard(self, shard: str, version: int, epoch: int) -> None:
+        """Gives a shard up so that another VM takes it at once."""
+        key = self.shard_key(shard)
+        free = work_pb2.ShardOwner(epoch=epoch)
+        self._table.commit(
+            table_lib.Transaction(
+                (table_lib.Condition(key, version),),
+                ((key, free.SerializeToString()),),
+            ),
+            self._lease_s / 2,
+            urgent=True,
+        )
+        logs.event("shard-released", shard=shard, epoch=epoch)
+
+    def shard_key(self, shard: str) -> str:
+        """Returns the table key of a shard's owner row."""
+        return f"{self._prefix}shard/{shard}"
+
+    # Leaving.
+
+    def leave(self) -> None:
+        """Gives up the slots and the session at once."""
+        self._leaving = True
+        if self._shares.is_member():
+            self._write_roster(
+                roster_lib.without(self._shares.roster, {self._session_id}),
+                set(),
+            )
+        self._renewals += 1
+        self._put_session(ended=True, settle_s=self._lease_s / 2)
+
+    def stop_claiming(self) -> None:
+        """Takes no more shards."""
+        self._leaving = True
+
+    def _session_key(self, session: str) -> str:
+        return f"{self._prefix}session/{session}"
+
+
+def _rank(vm: str, shard: str) -> bytes:
+    """Orders VMs for a shard by rendezvous hashing."""
+    return hashlib.blake2b(f"{vm}\0{shard}".encode(), digest_size=8).digest()
--- /dev/null
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/waiting_room.py
@@ -0,0 +1,196 @@
+"""Requests that wait in this VM for a slot of their service."""
+
+from __future__ import annotations
+
+import time
+from typing import TYPE_CHECKING
+
+import eventlet
+import eventlet.event
+import result
+
+from wisterialug_core.decisions import admission
+from wisterialug_daemon import metrics
+
+if TYPE_CHECKING:
+    from wisterialug_core.decisions import routing
+    from wisterialug_daemon import config_sync
+    from wisterialug_daemon import instances as instances_lib
+
+DEFAULT_WEIGHT = admission.DEFAULT_WEIGHT
+
+
+class _Ticket:
+    """A waiting request's place, which a dispatcher fills."""
+
+    def __init__(self, may_probe: bool) -> None:
+        self.may_probe = may_probe
+        self.granted: eventlet.event.Event = eventlet.event.Event()
+
+
+class WaitingRoom:
+    """Gives slots to waiting requests, most urgent first."""
+
+    def __init__(
+        self,
+        instances: instances_lib.Instances,
+        config: config_sync.ConfigSync,
+        max_waiting: int,
+    ) -> None:
+        self._instances = instances
+        self._config = config
+        self._max_waiting = max_waiting
+        self._queues: dict[
+            instances_lib.ServiceId, admission.ServiceQueue[_Ticket]
+        ] = {}
+        self._shares = admission.CustomerShares(self._weight)
+
+    def queue(
+        self, service: instances_lib.ServiceId
+    ) -> admission.ServiceQueue[_Ticket]:
+        """Returns the queue of a service."""
+        return self._queues.setdefault(service, admission.ServiceQueue())
+
+    def waiting(self) -> int:
+        """Returns the number of waiting requests."""
+        return sum(len(queue) for queue in self._queues.values())
+
+    def expected_wait_s(self, service: instances_lib.ServiceId) -> float:
+        """Returns how long a new request of a service would wait."""
+        slots = sum(self._instances.limits(service).values())
+        return self.queue(service).expected_wait_s(slots)
+
+    def take_slot(
+        self,
+        service: instances_lib.ServiceId,
+        deadline: float,
+        *,
+        may_probe: bool,
+        exclude: tuple[str, ...] = (),
+    ) -> result.Result[routing.Slot, admission.Refusal]:
+        """Takes a slot at once or waits for one.
+
+        Args:
+          service: Customer and service.
+          deadline: Monotonic time by which the answer must be there.
+          may_probe: Whether the request may go to a set-aside instance.
+          exclude: Instances that the request was sent to before.
+
+        Returns:
+          A slot, or why there is none.
+        """
+        queue = self.queue(service)
+        now = time.monotonic()
+        if len(queue) == 0:
+            slot = self._instances.acquire(
+                service, may_probe=may_probe, exclude=exclude
+            )
+            if slot is not None:
+                return result.Ok(slot)
+        slots = sum(self._instances.limits(service).values())
+        if not queue.meets(deadline, slots, now):
+            return result.Err(admission.Refusal.TOO_LATE)
+        refusal = self._make_room(service)
+        if refusal is not None:
+            return result.Err(refusal)
+        return self._wait(service, deadline, may_probe)
+
+    def _wait(
+        self,
+        service: instances_lib.ServiceId,
+        deadline: float,
+        may_probe: bool,
+    ) -> result.Result[routing.Slot, admission.Refusal]:
+        queue = self.queue(service)
+        ticket = _Ticket(may_probe)
+        waiting = queue.push(service[0], deadline, ticket)
+        self._count(service[0], 1)
+        timeout = eventlet.Timeout(
+            max(0.0, deadline - queue.service_time_s - time.monotonic())
+        )
+        try:
+            return ticket.granted.wait()
+        except eventlet.Timeout as exc:
+            if exc is not timeout:
+                raise
+            if queue.remove(waiting):
+                self._count(service[0], -1)
+                return result.Err(admission.Refusal.EXPIRED)
+            # A dispatcher has decided; its word is there or coming.
+            return ticket.granted.wait()
+        finally:
+            timeout.cancel()
+
+    def dispatch(self, service: instances_lib.ServiceId) -> None:
+        """Gives free slots of a service to its waiting requests."""
+        queue = self.queue(service)
+        while len(queue):
+            limits = self._instances.limits(service)
+            if self._instances.pool(service).free_slots(limits) <= 0:
+                return
+            waiting, expired = queue.pop(time.monotonic())
+            for late in expired:
+                self._count(late.customer, -1)
+                late.item.granted.send(result.Err(admission.Refusal.EXPIRED))
+            if waiting is None:
+                return
+            self._count(waiting.customer, -1)
+            slot = self._instances.acquire(
+                service, may_probe=waiting.item.may_probe
+            )
+            if slot is None:
+                waiting.item.granted.send(
+                    result.Err(admission.Refusal.QUEUE_FULL)
+                )
+                return
+            waiting.item.granted.send(result.Ok(slot))
+
+    def dispatch_all(self) -> None:
+        """Gives free slots to waiting requests of all services."""
+        for service in list(self._queues):
+            self.dispatch(service)
+
+    def _make_room(
+        self, service: instances_lib.ServiceId
+    ) -> admission.Refusal | None:
+        """Keeps the queues within their bounds."""
+        customer = service[0]
+        for kind, name in (("customer", customer), ("service", service[1])):
+            row = self._config.state.limit(customer, kind, name)
+            if row is None or not row.HasField("max_queue"):
+                continue
+            held = (
+                self._shares.waiting.get(customer, 0)
+                if kind == "customer"
+                else len(self.queue(service))
+            )
+            if held >= row.max_queue:
+                return admission.Refusal.QUEUE_FULL
+        if self.waiting() < self._max_waiting:
+            return None
+        heaviest = self._shares.heaviest(customer)
+        if heaviest == customer:
+            return admission.Refusal.QUEUE_FULL
+        self._displace(heaviest)
+        return None
+
+    def _displace(self, customer: str) -> None:
+        """Refuses the least urgent waiting request of a customer."""
+        for (owner, _), queue in self._queues.items():
+            if owner != customer:
+                continue
+            last = queue.last_of(customer)
+            if last is not None and queue.remove(last):
+                self._count(customer, -1)
+                last.item.granted.send(result.Err(admission.Refusal.DISPLACED))
+                return
+
+    def _weight(self, customer: str) -> int:
+        row = self._config.state.limit(customer, "customer", customer)
+        if row is None or not row.HasField("weight"):
+            return DEFAULT_WEIGHT
+        return row.weight
+
+    def _count(self, customer: str, change: int) -> None:
+        self._shares.add(customer, change)
+        metrics.QUEUED.inc(change)
--- /dev/null
+++ b/packages/wisterialug-standins/src/wisterialug_standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for the platform and upstreams, and tools on them."""
--- /dev/null
+++ b/packages/wisterialug-standins/src/wisterialug_standins/fleet.py
@@ -0,0 +1,432 @@
+"""Starts daemons and stand-ins as processes, for the demo and for tests."""
+
+from __future__ import annotations
+
+import contextlib
+import dataclasses
+import json
+import os
+import pathlib
+import random
+import signal
+import subprocess
+import sys
+import tempfile
+import time
+from typing import TYPE_CHECKING
+
+import urllib3
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable
+
+CALLER_PORT = 8080
+OPERATOR_PORT = 8081
+PEER_PORT = 8082
+METRICS_PORT = 8083
+TABLE_PORT = 8090
+VM_LIST_PORT = 8091
+CONTROL_PORT = 8092
+UPSTREAM_PORT = 8100
+TOKEN = "operators-token"
+POLL_S = 0.05
+
+
+@dataclasses.dataclass(frozen=True)
+class Shape:
+    """How many of everything each data centre has."""
+
+    data_centres: int = 3
+    entry_vms: int = 3
+    workers: int = 3
+    instances: int = 3
+    slots: int = 8
+    service_mean_s: float = 0.01
+    worker_capacity: tuple[int, int, int] = (16_000, 64_000, 0)
+    customer: str = "siam"
+    service: str = "dispatch"
+    # Proxies between all entry VMs and the table, and each two entry VMs.
+    proxies: bool = False
+    instance_proxies: bool = False
+    settings: tuple[str, ...] = ()
+
+
+@dataclasses.dataclass
+class Daemon:
+    """One wisterialugd process."""
+
+    vm: str
+    data_centre: str
+    ip: str
+    args: list[str]
+    process: subprocess.Popen | None = None
+
+    @property
+    def callers(self) -> str:
+        """The base URL for callers."""
+        return f"http://{self.ip}:{CALLER_PORT}"
+
+    @property
+    def operators(self) -> str:
+        """The base URL for operators."""
+        return f"http://{self.ip}:{OPERATOR_PORT}"
+
+    @property
+    def metrics(self) -> str:
+        """The base URL for monitoring."""
+        return f"http://{self.ip}:{METRICS_PORT}"
+
+
+class Fleet:
+    """Entry VMs, platform, workers and instances on loopback addresses."""
+
+    def __init__(self, shape: Shape, log_dir: str | None = None) -> None:
+        self.shape = shape
+        self._stack = contextlib.ExitStack()
+        # Fleets that run side by side differ in the second byte.
+        self._net = random.SystemRandom().randrange(16, 250)
+        self.http = urllib3.PoolManager(num_pools=64, maxsize=16, retries=False)
+        self._log_dir = pathlib.Path(
+            log_dir or self._stack.enter_context(tempfile.TemporaryDirectory())
+        )
+        self._token_file = self._log_dir / "token"
+        self._token_file.write_text(TOKEN)
+        self.daemons: dict[str, Daemon] = {}
+        self.vms: dict[str, dict] = {}
+        self._views: dict[str, dict[str, dict]] = {}
+        self._host_specs: list[dict] = []
+        self._extra_hosts: dict[str, list[dict]] = {}
+        self._hosts: dict[str, subprocess.Popen] = {}
+        self._lay_out()
+
+    def __enter__(self) -> Fleet:
+        """Starts everything and waits until it is ready."""
+        try:
+            self._start()
+        except BaseException:
+            self.close()
+            raise
+        return self
+
+    def __exit__(self, *exc: object) -> None:
+        """Stops everything."""
+        self.close()
+
+    # Layout.
+
+    def ip(self, third: int, fourth: int) -> str:
+        """Returns an address of this fleet."""
+        return f"127.{self._net}.{third}.{fourth}"
+
+    @property
+    def table_url(self) -> str:
+        """The base URL of the table service itself."""
+        return f"http://{self.ip(0, 1)}:{TABLE_PORT}"
+
+    def _lay_out(self) -> None:
+        shape = self.shape
+        platform = self.ip(0, 1)
+        self._host_specs = [
+            {"kind": "table", "ip": platform, "port": TABLE_PORT},
+            {"kind": "vm-list", "ip": platform, "port": VM_LIST_PORT},
+            {"kind": "proxy-control", "ip": platform, "port": CONTROL_PORT},
+        ]
+        for dc in range(1, shape.data_centres + 1):
+            for n in range(1, shape.entry_vms + 1):
+                self._add_daemon(dc, n)
+            for n in range(1, shape.workers + 1):
+                self._add_worker(dc, n)
+            for n in range(1, shape.instances + 1):
+                self._add_instance(dc, n)
+        if shape.proxies:
+            self._add_peer_proxies()
+
+    def _add_daemon(self, dc: int, n: int) -> None:
+        vm, ip = f"vm-{dc}-{n}", self.ip(dc, n)
+        table_ip = self.ip(0, 1)
+        if self.shape.proxies:
+            table_ip = self.ip(100 + dc, n)
+            self._host_specs.append(
+                {
+                    "kind": "proxy",
+                    "name": f"{vm}>table",
+                    "ip": table_ip,
+                    "port": TABLE_PORT,
+                    "target": [self.ip(0, 1), TABLE_PORT],
+                }
+            )
+        args = [
+            f"--vm-id={vm}",
+            f"--data-centre=dc-{dc}",
+            f"--ip={ip}",
+            f"--caller-port={CALLER_PORT}",
+            f"--operator-port={OPERATOR_PORT}",
+            f"--peer-port={PEER_PORT}",
+            f"--metrics-port={METRICS_PORT}",
+            f"--table-url=http://{table_ip}:{TABLE_PORT}",
+            f"--vm-list-url=http://{self.ip(0, 1)}:{VM_LIST_PORT}/{vm}",
+            f"--operator-token-file={self._token_file}",
+            *self.shape.settings,
+        ]
+        self.daemons[vm] = Daemon(vm, f"dc-{dc}", ip, args)
+        self.vms[vm] = _vm(vm, "VM_ROLE_ENTRY", dc, ip, PEER_PORT)
+
+    def _add_worker(self, dc: int, n: int) -> None:
+        vm, ip = f"worker-{dc}-{n}", self.ip(dc, 50 + n)
+        self._host_specs.append(
+            {
+                "kind": "worker",
+                "ip": ip,
+                "port": UPSTREAM_PORT,
+                "capacity": self.shape.worker_capacity,
+            }
+        )
+        cpu, memory, accelerators = self.shape.worker_capacity
+        self.vms[vm] = _vm(vm, "VM_ROLE_WORKER", dc, ip, UPSTREAM_PORT) | {
+            "rack": "r1",
+            "resources": {
+                "cpuMillicores": cpu,
+                "memoryMib": memory,
+                "accelerators": accelerators,
+            },
+        }
+
+    def _add_instance(self, dc: int, n: int) -> None:
+        vm, ip = f"instance-{dc}-{n}", self.ip(dc, 100 + n)
+        spec = {
+            "kind": "instance",
+            "name": vm,
+            "ip": ip,
+            "port": UPSTREAM_PORT,
+            "mean_s": self.shape.service_mean_s,
+            "slots": self.shape.slots,
+        }
+        self._extra_hosts.setdefault(f"instances-{dc}", []).append(spec)
+        seen_ip = ip
+        if self.shape.instance_proxies:
+            seen_ip = self.ip(dc, 200 + n)
+            self._host_specs.append(
+                {
+                    "kind": "proxy",
+                    "name": f">{vm}",
+                    "ip": seen_ip,
+                    "port": UPSTREAM_PORT,
+                    "target": [ip, UPSTREAM_PORT],
+                }
+            )
+        self.vms[vm] = _vm(
+            vm, "VM_ROLE_INSTANCE", dc, seen_ip, UPSTREAM_PORT
+        ) | {"customer": self.shape.customer, "service": self.shape.service}
+
+    def _add_peer_proxies(self) -> None:
+        names = list(self.daemons)
+        for i, source in enumerate(names):
+            for j, target in enumerate(names):
+                if i == j:
+                    continue
+                ip = self.ip(150 + i, 1 + j)
+                self._host_specs.append(
+                    {
+                        "kind": "proxy",
+                        "name": f"{source}>{target}",
+                        "ip": ip,
+                        "port": PEER_PORT,
+                        "target": [self.daemons[target].ip, PEER_PORT],
+                    }
+                )
+                self._views.setdefault(source, {})[target] = {"ip": ip}
+
+    # Processes.
+
+    def _start(self) -> None:
+        self._hosts["platform"] = self._spawn_host(self._host_specs)
+        for name, specs in self._extra_hosts.items():
+            self._hosts[name] = self._spawn_host(specs)
+        for process in self._hosts.values():
+            process.stdout.readline()
+        self.publish()
+        for vm in self.daemons:
+            self.start_daemon(vm)
+        self.wait_ready(self.daemons)
+
+    def _spawn_host(self, specs: list[dict]) -> subprocess.Popen:
+        process = subprocess.Popen(
+            [
+                sys.executable,
+                "-m",
+                "wisterialug_standins",
+                json.dumps(specs),
+            ],
+            stdin=subprocess.PIPE,
+            stdout=subprocess.PIPE,
+        )
+        self._stack.callback(_end, process)
+        return process
+
+    def start_daemon(self, vm: str) -> None:
+        """Starts an entry VM's daemon."""
+        daemon = self.daemons[vm]
+        log = (self._log_dir / f"{vm}.log").open("ab")
+        daemon.process = subprocess.Popen(
+            [sys.executable, "-m", "wisterialug_daemon", *daemon.args],
+            stdout=log,
+            stderr=subprocess.STDOUT,
+        )
+        log.close()
+        self._stack.callback(_end, daemon.process)
+
+    def signal_daemon(self, vm: str, number: int) -> None:
+        """Sends a signal to a daemon."""
+        self.daemons[vm].process.send_signal(number)
+
+    def kill_daemon(self, vm: str) -> None:
+        """Kills a daemon at once."""
+        process = self.daemons[vm].process
+        process.kill()
+        process.wait()
+
+    def stop_daemon(self, vm: str, timeout_s: float = 30.0) -> int:
+        """Stops a daemon gracefully; returns its exit code."""
+        process = self.daemons[vm].process
+        process.send_signal(signal.SIGTERM)
+        return process.wait(timeout_s)
+
+    def close(self) -> None:
+        """Stops everything that this fleet started."""
+        self._stack.close()
+
+    def log_text(self, vm: str) -> str:
+        """Returns what a daemon has logged."""
+        return (self._log_dir / f"{vm}.log").read_text()
+
+    # Platform and waiting.
+
+    def publish(self) -> None:
+        """Publishes the VM list."""
+        self.post(
+            f"http://{self.ip(0, 1)}:{VM_LIST_PORT}/v1/vms",
+            {"vms": list(self.vms.values()), "views": self._views},
+        )
+
+    def set_faults(
+        self, names: Iterable[str], fault: str, delay_s: float = 0.0
+    ) -> None:
+        """Sets a fault on proxies by name."""
+        self.post(
+            f"http://{self.ip(0, 1)}:{CONTROL_PORT}/",
+            {"names": list(names), "fault": fault, "delay_s": delay_s},
+        )
+
+    def set_table(self, **faults: object) -> None:
+        """Sets faults of the table service itself."""
+        self.post(f"{self.table_url}/v1/faults", faults)
+
+    def table_stats(self) -> dict:
+        """Returns the counters of the table service."""
+        return self.post(f"{self.table_url}/v1/stats", {})
+
+    def post(self, url: str, body: object) -> dict:
+        """Posts JSON and returns the JSON answer."""
+        resp = self.http.request("POST", url, body=json.dumps(body).encode())
+        return json.loads(resp.data or b"{}")
+
+    def get(self, url: str) -> dict:
+        """Gets JSON."""
+        return json.loads(self.http.request("GET", url).data)
+
+    def upstream_url(self, vm: str) -> str:
+        """Returns the own base URL of a worker or instance."""
+        dc, n = vm.split("-")[1:]
+        offset = 100 if vm.startswith("instance") else 50
+        return f"http://{self.ip(int(dc), offset + int(n))}:{UPSTREAM_PORT}"
+
+    def behave(self, vm: str, **behaviour: object) -> None:
+        """Changes how a worker or instance behaves."""
+        path = "/-/behaviour" if vm.startswith("instance") else "/v1/behaviour"
+        self.post(self.upstream_url(vm) + path, behaviour)
+
+    def instance_log(self, vm: str) -> dict:
+        """Returns what an instance ran."""
+        return self.get(self.upstream_url(vm) + "/-/log")
+
+    def worker_log(self, vm: str) -> dict:
+        """Returns what a worker ran."""
+        return self.get(self.upstream_url(vm) + "/v1/log")
+
+    def of_role(self, role: str) -> list[str]:
+        """Returns the ids of VMs of a role."""
+        return [vm for vm, row in self.vms.items() if row["role"] == role]
+
+    def operator(
+        self, vm: str, method: str, path: str, body: object = None
+    ) -> tuple[int, object]:
+        """Calls the operators' interface of an entry VM."""
+        resp = self.http.request(
+            method,
+            self.daemons[vm].operators + path,
+            body=None if body is None else json.dumps(body).encode(),
+            headers={"Authorization": f"Bearer {TOKEN}"},
+        )
+        return resp.status, json.loads(resp.data)
+
+    def wait_ready(self, vms: Iterable[str], timeout_s: float = 30.0) -> None:
+        """Waits until daemons are ready and the slots are divided."""
+        for vm in vms:
+            url = self.daemons[vm].metrics + "/readyz"
+            wait_for(lambda url=url: self._ok(url), timeout_s, f"{vm} ready")
+        for vm in vms:
+            wait_for(
+                lambda vm=vm: self._has_slots(vm), timeout_s, f"{vm} slots"
+            )
+
+    def _has_slots(self, vm: str) -> bool:
+        _, status = self.operator(vm, "GET", "/v1/status")
+        return status["slots_usable"] and (
+            not self.shape.instances
+            or any(one["limit"] for one in status["instances"])
+        )
+
+    def _ok(self, url: str) -> bool:
+        try:
+            return self.http.request("GET", url, timeout=2.0).status == 200
+        except urllib3.exceptions.HTTPError:
+            return False
+
+
+def wait_for(
+    condition: Callable[[], bool], timeout_s: float, what: str
+) -> float:
+    """Polls a condition; returns the seconds that it took.
+
+    Raises:
+      TimeoutError: The condition did not come true in time.
+    """
+    started = time.monotonic()
+    while not condition():
+        if time.monotonic() - started > timeout_s:
+            raise TimeoutError(f"{what}: not within {timeout_s} s")
+        time.sleep(POLL_S)
+    return time.monotonic() - started
+
+
+def _vm(vm: str, role: str, dc: int, ip: str, port: int) -> dict:
+    return {
+        "id": vm,
+        "role": role,
+        "state": "VM_STATE_LIVE",
+        "dataCentre": f"dc-{dc}",
+        "ip": ip,
+        "port": port,
+    }
+
+
+def _end(process: subprocess.Popen) -> None:
+    """Ends a process that this program started."""
+    if process.poll() is None:
+        if os.name == "posix":
+            process.send_signal(signal.SIGCONT)
+        process.kill()
+        process.wait()
+    for pipe in (process.stdin, process.stdout):
+        if pipe is not None:
+            pipe.close()
--- /dev/null
+++ b/tests/test_core/test_limits_sheet.py
@@ -0,0 +1,81 @@
+"""Tests of the CSV form of the table of weights and limits."""
+
+import testtools
+
+from wisterialug_core.decisions import config_state, limits_sheet
+
+GOOD = """customer,kind,name,weight,max_in_flight
+siam,customer,siam,300,
+siam,service,dispatch,,10
+"""
+
+
+def _state(text):
+    state = config_state.ConfigState()
+    changes = limits_sheet.diff(
+        limits_sheet.Sheet({}), limits_sheet.parse(text).ok_value
+    )
+    rows = limits_sheet.changed_rows(state, changes).ok_value
+    state.apply(config_state.next_delta(state, rows))
+    return state
+
+
+class ParseTest(testtools.TestCase):
+    def test_bad_cells_name_row_column_value(self):
+        cases = [
+            ("siam,customer,siam,0,", "weight", "0"),
+            ("siam,customer,siam,x,", "weight", "x"),
+            ("siam,customer,siam,1,-1", "max_in_flight", "-1"),
+            ("siam,region,siam,1,", "kind", "region"),
+            ("siam,customer,other,1,", "name", "other"),
+            ("si am,service,dispatch,1,", "customer", "si am"),
+            ("siam,customer,siam", "row", ""),
+            ("siam,customer,siam,1,2,3", "row", ""),
+        ]
+        header = GOOD.splitlines()[0]
+        for line, column, value in cases:
+            faults = limits_sheet.parse(f"{header}\n{line}\n").err_value
+            self.assertEqual(1, len(faults), line)
+            self.assertEqual(
+                ("2", column, value),
+                (faults[0].row, faults[0].column, faults[0].value),
+            )
+
+    def test_unknown_column_and_doubled_row(self):
+        self.assertTrue(limits_sheet.parse("customer,wait\n").is_err())
+        doubled = GOOD + "siam,customer,siam,1,\n"
+        self.assertEqual(
+            "name", limits_sheet.parse(doubled).err_value[0].column
+        )
+
+    def test_export_is_read_back(self):
+        state = _state(GOOD)
+        text = limits_sheet.export(
+            row.limit for row in state.live_rows("limit/")
+        )
+        self.assertEqual(
+            [], limits_sheet.diff(*[limits_sheet.parse(text).ok_value] * 2)
+        )
+        self.assertEqual(state.limit("siam", "customer", "siam").weight, 300)
+
+
+class ConflictTest(testtools.TestCase):
+    def test_only_cells_that_another_changed_conflict(self):
+        base = limits_sheet.parse(GOOD).ok_value
+        mine = limits_sheet.parse(
+            GOOD.replace("300", "400").replace(",10", ",11")
+        ).ok_value
+        state = _state(GOOD.replace("300", "350"))
+        clashes = config_state.conflicts(state, limits_sheet.diff(base, mine))
+        self.assertEqual(
+            [("weight", "300", "350", "400")],
+            [(c.column, c.base, c.current, c.value) for c in clashes],
+        )
+
+    def test_deleted_row_conflicts_with_an_edit(self):
+        base = limits_sheet.parse(GOOD).ok_value
+        mine = limits_sheet.parse(GOOD.replace("300", "400")).ok_value
+        clashes = config_state.conflicts(
+            config_state.ConfigState(), limits_sheet.diff(base, mine)
+        )
+        self.assertEqual(["weight"], [c.column for c in clashes])
