Scheduler: stateful fuzzing against an oracle of its promises

Cause: the scheduler's promises (never two at once, never too much on a worker, resume once from the checkpoint, at most once, cancellations stay) had no proof.

--- /dev/null
+++ b/tests/test_core/test_shard_machine.py
@@ -0,0 +1,426 @@
+"""Stateful fuzzing of the scheduler against an oracle of its promises.
+
+Workers are models that keep a log of what ran.  Messages are lost, late,
+doubled and reordered; answers of the table are lost; owners pause, die and
+are replaced while they still believe to be owners.
+"""
+
+import copy
+import dataclasses
+
+import testtools
+from hypothesis import Phase, seed, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    rule,
+)
+
+from wisterialug_core.decisions import (
+    placement,
+    resources,
+    task_order,
+)
+from wisterialug_core.decisions import shard as shard_lib
+from wisterialug_core.schema import work_pb2
+from wisterialug_standins import worker_model
+
+SEED = 20261203
+EXAMPLES = 300
+STEPS = 50
+LEASE_S = 10.0
+CAPACITY = resources.Amount(4000, 8000, 1)
+WORKERS = ("w1", "w2", "w3")
+
+
+@dataclasses.dataclass
+class Table:
+    """The durable rows, with the conditions that the driver uses."""
+
+    epoch: int = 0
+    jobs: dict = dataclasses.field(default_factory=dict)
+    job_versions: dict = dataclasses.field(default_factory=dict)
+    chunks: dict = dataclasses.field(default_factory=dict)
+    finished: set = dataclasses.field(default_factory=set)
+
+    def commit(self, epoch, seen_versions, commit):
+        if epoch != self.epoch:
+            return "lost"
+        for job in commit.jobs_started():
+            if seen_versions[job] != self.job_versions[job]:
+                return "cancelled"
+        for chunk in commit.chunks:
+            self.chunks[chunk.job, chunk.number] = copy.deepcopy(chunk)
+        self.finished |= set(commit.finished)
+        return "ok"
+
+
+@dataclasses.dataclass
+class Owner:
+    scheduler: shard_lib.ShardScheduler
+    seen_versions: dict
+    unsettled: shard_lib.Commit | None = None
+    # The one exchange under way with each worker.
+    asked: dict = dataclasses.field(default_factory=dict)
+
+
+class ShardMachine(RuleBasedStateMachine):
+    def __init__(self):
+        super().__init__()
+        self.now = 100.0
+        self.table = Table()
+        self.lives = 0
+        self.models = {}
+        self.dead_models = []
+        self.listed = set(WORKERS)
+        for name in WORKERS:
+            self._revive(name)
+        self.owners = []
+        self.requests = []
+        self.answers = []
+        self.jobs = 0
+        self.cancelled_at = {}
+        self._new_owner()
+
+    def _revive(self, name):
+        self.lives += 1
+        self.models[name] = worker_model.WorkerModel(
+            f"life-{self.lives}", CAPACITY
+        )
+
+    def _new_owner(self):
+        self.table.epoch += 1
+        scheduler = shard_lib.ShardScheduler(
+            "s",
+            self.table.epoch,
+            "vm",
+            LEASE_S,
+            placement.make("best-fit"),
+            lambda group: task_order.Limits(),
+        )
+        owner = Owner(scheduler, {})
+        self.owners = [*self.owners[-1:], owner]
+        self._load(owner)
+        self._list(owner)
+
+    def _load(self, owner):
+        for key, chunk in self.table.chunks.items():
+            if owner.scheduler.has_chunk(key) or key in self.table.finished:
+                continue
+            job = copy.deepcopy(self.table.jobs[key[0]])
+            owner.seen_versions[key[0]] = self.table.job_versions[key[0]]
+            owner.scheduler.load(job, copy.deepcopy(chunk))
+
+    def _list(self, owner):
+        vms = [
+            work_pb2.Vm(id=name, resources=resources.message(CAPACITY))
+            for name in self.listed
+        ]
+        owner.scheduler.set_workers(vms, set(), self.now)
+
+    def _owner(self, index):
+        return self.owners[index % len(self.owners)]
+
+    @initialize(tasks=st.integers(1, 5), repeatable=st.booleans())
+    def start_with_work(self, tasks, repeatable):
+        self.submit(tasks, 2000, 4000, repeatable, False)
+        for _ in range(2):
+            self.work(0, WORKERS)
+
+    # Operators.
+
+    @rule(
+        tasks=st.integers(1, 5),
+        cpu=st.sampled_from([1000, 2000, 3000]),
+        run_ms=st.sampled_from([1000, 4000, 30000]),
+        repeatable=st.booleans(),
+        urgent=st.booleans(),
+    )
+    def submit(self, tasks, cpu, run_ms, repeatable, urgent):
+        if self.jobs >= 6:
+            return
+        self.jobs += 1
+        job = work_pb2.Job(
+            id=f"j{self.jobs}",
+            customer="c",
+            team="t",
+            tasks=tasks,
+            each=work_pb2.Resources(cpu_millicores=cpu, memory_mib=100),
+            run_ms=run_ms,
+            repeatable=repeatable,
+            urgent=urgent,
+        )
+        self.table.jobs[job.id] = job
+        self.table.job_versions[job.id] = 1
+        self.table.chunks[job.id, 0] = work_pb2.Chunk(
+            job=job.id, tasks=[work_pb2.Task(index=i) for i in range(tasks)]
+        )
+
+    @rule(index=st.integers(1, 6))
+    def cancel(self, index):
+        job = self.table.jobs.get(f"j{index}")
+        if job is not None and not job.cancelled:
+            job.cancelled = True
+            self.table.job_versions[job.id] += 1
+            started = {
+                shard_lib.task_id(job.id, task.index): task.attempt
+                for task in self.table.chunks[job.id, 0].tasks
+            }
+            self.cancelled_at[job.id] = started
+
+    # Owners.
+
+    @rule(who=st.integers(0, 1))
+    def poll(self, who):
+        owner = self._owner(who)
+        self._load(owner)
+        for job in self.table.jobs.values():
+            if job.cancelled and owner.scheduler.knows_job(job.id):
+                owner.seen_versions[job.id] = self.table.job_versions[job.id]
+                owner.scheduler.cancel(job.id)
+
+    @rule(who=st.integers(0, 1))
+    def plan(self, who):
+        owner = self._owner(who)
+        if owner.unsettled is None:
+            owner.scheduler.plan(self.now, int(self.now * 1000))
+            owner.unsettled = owner.scheduler.next_commit()
+
+    @rule(who=st.integers(0, 1), fate=st.sampled_from(["ok", "late", "none"]))
+    def settle(self, who, fate):
+        owner = self._owner(who)
+        commit = owner.unsettled
+        if commit is None or fate == "none":
+            return
+        outcome = self.table.commit(
+            owner.scheduler.epoch, owner.seen_versions, commit
+        )
+        if fate == "late":
+            # The answer is lost; the same commit is settled later, and is
+            # idempotent since the rows are whole.
+            return
+        owner.unsettled = None
+        if outcome == "ok":
+            owner.scheduler.commit_done(commit)
+            return
+        owner.scheduler.commit_refused(commit)
+        if outcome == "lost":
+            owner.scheduler.fenced = True
+        else:
+            self.poll(who)
+
+    @rule(who=st.integers(0, 1), worker=st.sampled_from(WORKERS))
+    def ask(self, who, worker):
+        owner = self._owner(who)
+        if worker not in owner.scheduler.worker_ids():
+            return
+        if worker in owner.asked or owner.scheduler.fenced:
+            return
+        req = owner.scheduler.sync_request(worker)
+        owner.asked[worker] = req
+        self.requests.append((owner, worker, req))
+
+    @rule(who=st.integers(0, 1), worker=st.sampled_from(WORKERS))
+    def give_up(self, who, worker):
+        self._owner(who).asked.pop(worker, None)
+
+    @rule()
+    def take_over(self):
+        self._new_owner()
+
+    # The network.
+
+    @rule(index=st.integers(0, 30), keep=st.booleans())
+    def deliver_request(self, index, keep):
+        if not self.requests:
+            return
+        index %= len(self.requests)
+        owner, worker, req = self.requests[index]
+        if not keep:
+            del self.requests[index]
+        model = self.models.get(worker)
+        if model is not None:
+            resp = model.sync(req, self._clock())
+            self.answers.append((owner, worker, req, resp))
+
+    @rule(index=st.integers(0, 30))
+    def deliver_answer(self, index):
+        if not self.answers:
+            return
+        owner, worker, req, resp = self.answers.pop(index % len(self.answers))
+        if owner.asked.get(worker) is req:
+            del owner.asked[worker]
+            owner.scheduler.on_sync(worker, req, resp, self.now)
+
+    @rule(worker=st.sampled_from(WORKERS), who=st.integers(0, 1))
+    def exchange(self, worker, who):
+        """A whole exchange without a fault, so that work gets done."""
+        owner = self._owner(who)
+        model = self.models.get(worker)
+        known = worker in owner.scheduler.worker_ids()
+        if model is None or owner.scheduler.fenced or not known:
+            return
+        owner.asked.pop(worker, None)
+        req = owner.scheduler.sync_request(worker)
+        resp = model.sync(req, self._clock())
+        owner.scheduler.on_sync(worker, req, resp, self.now)
+
+    @rule(
+        who=st.integers(0, 1),
+        reached=st.lists(st.sampled_from(WORKERS), min_size=1, unique=True),
+    )
+    def work(self, who, reached):
+        """One round of all that an owner does; some workers are reached."""
+        self.poll(who)
+        self.plan(who)
+        self.settle(who, "ok")
+        for worker in reached:
+            self.exchange(worker, who)
+
+    @rule(
+        who=st.integers(0, 1),
+        reached=st.lists(st.sampled_from(WORKERS), min_size=1, unique=True),
+        seconds=st.sampled_from([0.2, 1.0]),
+        rounds=st.integers(2, 4),
+    )
+    def work_on(self, who, reached, seconds, rounds):
+        """Several rounds with time between."""
+        for _ in range(rounds):
+            self.work(who, reached)
+            self.pass_time(seconds)
+
+    # Time and workers.
+
+    def _clock(self):
+        return int(self.now * 1000)
+
+    @rule(seconds=st.sampled_from([0.2, 1.0, 3.0, 12.0]))
+    def pass_time(self, seconds):
+        # In small steps, so that leases lapse before progress is counted.
+        for _ in range(20):
+            self.now += seconds / 20
+            for model in self.models.values():
+                if model is not None:
+                    model.advance(seconds * 50, self._clock())
+
+    @rule(worker=st.sampled_from(WORKERS), broken=st.booleans())
+    def change_health(self, worker, broken):
+        if self.models[worker] is not None:
+            self.models[worker].fail = broken
+
+    @rule(worker=st.sampled_from(WORKERS))
+    def kill_worker(self, worker):
+        if self.models[worker] is not None:
+            for run in self.models[worker].running.values():
+                run.ended_ms = self._clock()
+                run.end = "KILLED"
+            self.models[worker].running = {}
+            self.dead_models.append(self.models[worker])
+            self.models[worker] = None
+
+    @rule(worker=st.sampled_from(WORKERS))
+    def restart_worker(self, worker):
+        if self.models[worker] is None:
+            self._revive(worker)
+            self.listed.add(worker)
+
+    @rule()
+    def read_vm_list(self):
+        for worker, model in self.models.items():
+            if model is None:
+                self.listed.discard(worker)
+        for owner in self.owners:
+            self._list(owner)
+
+    # The oracle.
+
+    def _live_models(self):
+        return [model for model in self.models.values() if model is not None]
+
+    def _all_runs(self):
+        return [
+            run
+            for model in [*self._live_models(), *self.dead_models]
+            for run in model.log
+        ]
+
+    @invariant()
+    def promises(self):
+        self.no_task_runs_twice_at_once()
+        self.no_worker_is_overcommitted()
+        self.unrepeatable_tasks_resume_only_after_eviction()
+        self.evicted_work_resumes_from_its_checkpoint()
+        self.no_attempt_is_started_twice()
+        self.cancelled_tasks_start_no_new_attempt()
+        self.final_records_stay()
+
+    def no_task_runs_twice_at_once(self):
+        running = [
+            run.task
+            for model in self._live_models()
+            for run in model.running.values()
+        ]
+        assert len(running) == len(set(running)), running
+
+    def no_worker_is_overcommitted(self):
+        for model in self._live_models():
+            assert model.overcommitted == 0
+
+    def unrepeatable_tasks_resume_only_after_eviction(self):
+        runs = {}
+        for run in self._all_runs():
+            job = self.table.jobs[shard_lib.task_job(run.task)]
+            if not job.repeatable:
+                runs.setdefault(run.task, []).append(run)
+        for task, those in runs.items():
+            those.sort(key=lambda run: run.attempt)
+            for run in those[:-1]:
+                assert run.end == "ATTEMPT_END_EVICTED", (task, run)
+
+    def evicted_work_resumes_from_its_checkpoint(self):
+        by_attempt = {(r.task, r.attempt): r for r in self._all_runs()}
+        tasks = {}
+        for task, attempt in by_attempt:
+            tasks.setdefault(task, []).append(attempt)
+        for task, attempts in tasks.items():
+            attempts.sort()
+            for before, after in zip(attempts, attempts[1:], strict=False):
+                first = by_attempt[task, before]
+                if first.end == "ATTEMPT_END_EVICTED":
+                    resumed = by_attempt[task, after].resumed_ms
+                    assert resumed == first.checkpoint_ms, (task, before)
+
+    def no_attempt_is_started_twice(self):
+        keys = [(run.task, run.attempt) for run in self._all_runs()]
+        assert len(keys) == len(set(keys))
+
+    def cancelled_tasks_start_no_new_attempt(self):
+        for job, started in self.cancelled_at.items():
+            for run in self._all_runs():
+                if shard_lib.task_job(run.task) == job:
+                    assert run.attempt <= started[run.task], run
+
+    def final_records_stay(self):
+        for (job, _), chunk in self.table.chunks.items():
+            for task in chunk.tasks:
+                if task.state == work_pb2.TASK_STATE_DONE:
+                    name = shard_lib.task_id(job, task.index)
+                    for model in self._live_models():
+                        assert all(
+                            run.task != name for run in model.running.values()
+                        )
+
+
+class ShardMachineTest(testtools.TestCase):
+    def test_promises_hold(self):
+        machine = seed(SEED)(ShardMachine).TestCase
+        machine.settings = settings(
+            max_examples=EXAMPLES,
+            stateful_step_count=STEPS,
+            deadline=None,
+            phases=(Phase.explicit, Phase.generate),
+            database=None,
+        )
+        machine("runTest").runTest()
