--- a/tests/test_core/test_shard_machine.py
+++ b/tests/test_core/test_shard_machine.py
@@ -470,8 +470,8 @@
 
 
 class ShardMachineTest(testtools.TestCase):
-    def test_promises_hold(self):
-        machine = seed(SEED)(ShardMachine).TestCase
+    def run_machine(self, number):
+        machine = seed(number)(ShardMachine).TestCase
         machine.settings = settings(
             max_examples=EXAMPLES,
             stateful_step_count=STEPS,
@@ -480,3 +480,9 @@
             database=None,
         )
         machine("runTest").runTest()
+
+    def test_promises_hold_with_first_seed(self):
+        self.run_machine(SEEDS[0])
+
+    def test_promises_hold_with_second_seed(self):
+        self.run_machine(SEEDS[1])
