Requests and tasks: integration tests with faults, and the faults they found

Cause: real processes under kills, pauses, cuts and outages were not tested. Found and mended: a submission was refused as impossible while no shard had an owner (the VM list's sizes count now); slots of leaving instances counted as capacity, so that requests waited instead of going to the other data centre; closing a socket on which a greenlet waits ended the whole loop (the accept greenlet is killed first).

--- a/packages/wisterialug-daemon/src/wisterialug_daemon/http/server.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/http/server.py
@@ -72,8 +72,9 @@
 
     def close(self, timeout_s: float = 0.0) -> None:
         """Stops accepting, then waits for requests in flight."""
-        self._socket.close()
+        # No greenlet may wait on a socket that is closed.
         eventlet.greenthread.kill(self._thread)
+        self._socket.close()
         with contextlib.suppress(eventlet.Timeout):
             with eventlet.Timeout(max(0.01, timeout_s)):
                 self._pool.waitall()
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/instances.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/instances.py
@@ -82,8 +82,18 @@
         return {
             one.id: self._shares.limit(one.id, self._slots)
             for one in self.pool(service).instances()
+            if not one.leaving
         }
 
+    def capacity(self, service: ServiceId) -> int:
+        """Returns the slots of the instances that take work here."""
+        limits = self.limits(service)
+        return sum(
+            limits.get(one.id, 0)
+            for one in self.pool(service).instances()
+            if not one.set_aside
+        )
+
     def in_flight(self) -> dict[str, int]:
         """Returns this VM's requests in flight, by instance."""
         counts: dict[str, int] = {}
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/jobs.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/jobs.py
@@ -229,11 +229,12 @@
         return faults
 
     def _shard_loads(self) -> list[peer_pb2.ShardLoad]:
-        loads = {load.shard: load for load in self._owned.loads()}
+        """Returns all shards, with their owners' word where there is one."""
+        loads = self._owned.listed_loads()
         peers = self._members.table.peers(time.monotonic(), members_lib.PRESENT)
         for record in peers:
-            for load in record.shards:
-                loads.setdefault(load.shard, load)
+            loads.update({load.shard: load for load in record.shards})
+        loads.update({load.shard: load for load in self._owned.loads()})
         return list(loads.values())
 
     def _chunks(self, job_id: str) -> list[work_pb2.Chunk]:
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/router.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/router.py
@@ -276,7 +276,7 @@
         if self._instances.pool(service).free_slots(limits) > 0:
             return None
         wait_s = self._room.expected_wait_s(service)
-        if sum(limits.values()) and wait_s < FORWARD_WAIT_S:
+        if self._instances.capacity(service) and wait_s < FORWARD_WAIT_S:
             return None
         peer = self._peer_with_room(service)
         if peer is None:
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/shards.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/shards.py
@@ -90,6 +90,19 @@
         """Returns the room in each owned shard."""
         return [self._load(runner) for runner in self.runners.values()]
 
+    def listed_loads(self) -> dict[str, peer_pb2.ShardLoad]:
+        """Returns the shards of the VM list as if nothing ran there."""
+        loads: dict[str, peer_pb2.ShardLoad] = {}
+        for vm in self._inventory.of_role(work_pb2.VM_ROLE_WORKER):
+            shard = shard_of(vm)
+            load = loads.setdefault(shard, peer_pb2.ShardLoad(shard=shard))
+            has = resources.of(vm.resources)
+            load.free_cpu_millicores += has.cpu_millicores
+            load.free_memory_mib += has.memory_mib
+            load.free_accelerators += has.accelerators
+            _raise_largest(load, has)
+        return loads
+
     def describe(
         self, req: peer_pb2.DescribeRequest
     ) -> peer_pb2.DescribeResponse:
@@ -173,21 +186,32 @@
         return max(1, len({shard_of(vm) for vm in workers}))
 
     def _load(self, runner: shard_runner.ShardRunner) -> peer_pb2.ShardLoad:
-        free = largest = resources.ZERO
-        for book in runner.scheduler.workers():
-            if book.listed and not book.leaving:
-                free = free.plus(book.free())
-                largest = largest.at_least(book.capacity)
-        return peer_pb2.ShardLoad(
+        free = resources.ZERO
+        load = peer_pb2.ShardLoad(
             shard=runner.scheduler.shard,
-            free_cpu_millicores=max(0, free.cpu_millicores),
-            free_memory_mib=max(0, free.memory_mib),
-            free_accelerators=max(0, free.accelerators),
             pending_tasks=runner.scheduler.pending_count(),
-            largest_cpu_millicores=largest.cpu_millicores,
-            largest_memory_mib=largest.memory_mib,
-            largest_accelerators=largest.accelerators,
         )
+        for book in runner.scheduler.workers():
+            if book.listed and not book.leaving:
+                free = free.plus(book.free())
+                _raise_largest(load, book.capacity)
+        load.free_cpu_millicores = max(0, free.cpu_millicores)
+        load.free_memory_mib = max(0, free.memory_mib)
+        load.free_accelerators = max(0, free.accelerators)
+        return load
+
+
+def _raise_largest(
+    load: peer_pb2.ShardLoad, capacity: resources.Amount
+) -> None:
+    """Counts a worker in the largest one of a shard."""
+    load.largest_cpu_millicores = max(
+        load.largest_cpu_millicores, capacity.cpu_millicores
+    )
+    load.largest_memory_mib = max(load.largest_memory_mib, capacity.memory_mib)
+    load.largest_accelerators = max(
+        load.largest_accelerators, capacity.accelerators
+    )
 
 
 def _worker_state(book: worker_book.WorkerBook, now: float) -> str:
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/waiting_room.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/waiting_room.py
@@ -57,7 +57,7 @@
 
     def expected_wait_s(self, service: instances_lib.ServiceId) -> float:
         """Returns how long a new request of a service would wait."""
-        slots = sum(self._instances.limits(service).values())
+        slots = self._instances.capacity(service)
         return self.queue(service).expected_wait_s(slots)
 
     def take_slot(
@@ -87,7 +87,7 @@
             )
             if slot is not None:
                 return result.Ok(slot)
-        slots = sum(self._instances.limits(service).values())
+        slots = self._instances.capacity(service)
         if not queue.meets(deadline, slots, now):
             return result.Err(admission.Refusal.TOO_LATE)
         refusal = self._make_room(service)
--- a/packages/wisterialug-standins/src/wisterialug_standins/proxy.py
+++ b/packages/wisterialug-standins/src/wisterialug_standins/proxy.py
@@ -86,7 +86,8 @@
                     return
                 if not self._pass(data, sink, answers, pair):
                     return
-        except OSError:
+        except (OSError, EOFError):
+            # eventlet raises EOFError where the other pump has closed.
             _reset(*pair)
 
     def _pass(
--- a/packages/wisterialug-standins/src/wisterialug_standins/worker_model.py
+++ b/packages/wisterialug-standins/src/wisterialug_standins/worker_model.py
@@ -83,9 +83,7 @@
             elif run.progress_ms >= run.run_ms:
                 self._end(run, work_pb2.ATTEMPT_END_DONE, now_ms)
 
-    def _carry_out(
-        self, req: work_pb2.WorkerSyncRequest, now_ms: int
-    ) -> None:
+    def _carry_out(self, req: work_pb2.WorkerSyncRequest, now_ms: int) -> None:
         if req.incarnation != self.incarnation:
             # The message is for an earlier life, whose tasks are gone.
             return
--- /dev/null
+++ b/tests/test_integration/test_requests.py
@@ -0,0 +1,197 @@
+"""Requests through real daemons, with faults between all parts."""
+
+import signal
+import threading
+
+from tests.test_integration import base
+from wisterialug_standins import fleet, uuid7
+
+FAULTS = ("cut-answer", "reset", "lose-answer", "black-hole")
+
+
+class UpstreamFaultTest(base.IntegrationTest):
+    shape = fleet.Shape(data_centres=1, instance_proxies=True)
+
+    def test_answers_stay_true_under_each_fault(self):
+        answers = []
+        for fault in FAULTS:
+            self.fleet.set_faults([">instance-1-1"], fault)
+            answers += self.send_many(self.vms, 60, timeout_ms=1000)
+            answers += self.send_many(
+                self.vms, 30, timeout_ms=1000, method="GET"
+            )
+            self.fleet.set_faults([">instance-1-1"], "pass")
+        posts = [a for n, a in enumerate(answers) if n % 90 < 60]
+        self.check_answers(posts)
+        self.check_answers(answers, at_most_once=False)
+        self.assertTrue(self.outcomes(answers)["done"] > 200)
+
+    def test_failing_instance_is_set_aside_and_comes_back(self):
+        self.fleet.set_faults([">instance-1-1"], "reset")
+
+        def set_aside():
+            self.send_many(self.vms[:1], 10, method="GET")
+            return self._seen(self.vms[0])["set_aside"]
+
+        fleet.wait_for(set_aside, 20, "set aside")
+        self.fleet.set_faults([">instance-1-1"], "pass")
+
+        def back():
+            self.send_many(self.vms[:1], 5, method="GET")
+            return not self._seen(self.vms[0])["set_aside"]
+
+        fleet.wait_for(back, 40, "back in use")
+
+    def _seen(self, vm):
+        status = self.operate("GET", "/v1/status", vm=vm)
+        return next(
+            one for one in status["instances"] if one["id"] == "instance-1-1"
+        )
+
+
+class EntryVmFaultTest(base.IntegrationTest):
+    shape = fleet.Shape(data_centres=1, service_mean_s=0.05)
+
+    def test_killed_and_paused_entry_vms(self):
+        answers = []
+
+        def send():
+            answers.extend(self.send_many(self.vms, 240))
+
+        sender = threading.Thread(target=send)
+        sender.start()
+        fleet.wait_for(lambda: self._ran() > 20, 20, "some requests")
+        self.fleet.kill_daemon(self.vms[2])
+        self.fleet.signal_daemon(self.vms[1], signal.SIGSTOP)
+        fleet.wait_for(lambda: self._ran() > 60, 20, "more requests")
+        self.fleet.signal_daemon(self.vms[1], signal.SIGCONT)
+        sender.join()
+        self.check_answers(answers)
+        self.assertTrue(self.outcomes(answers)["done"] > 100)
+
+    def _ran(self):
+        return sum(log["count"] for log in self.instance_logs().values())
+
+    def test_stop_interrupts_no_request(self):
+        answers = []
+
+        def send():
+            answers.extend(self.send_as_balancer(self.vms, 400))
+
+        sender = threading.Thread(target=send)
+        sender.start()
+        fleet.wait_for(lambda: self._ran() > 20, 20, "some requests")
+        self.assertEqual(0, self.fleet.stop_daemon(self.vms[0]))
+        sender.join()
+        self.check_answers(answers)
+        self.assertEqual({"done": 400}, self.outcomes(answers))
+
+    def test_slots_of_a_dead_vm_are_used_again(self):
+        self.fleet.kill_daemon(self.vms[2])
+
+        def limits():
+            total = 0
+            for vm in self.vms[:2]:
+                status = self.operate("GET", "/v1/status", vm=vm)
+                total += status["instances"][0]["limit"]
+            return total
+
+        fleet.wait_for(lambda: limits() == 8, 30, "all slots in use")
+
+
+class OnceTest(base.IntegrationTest):
+    def test_key_gets_the_first_answer_on_every_vm(self):
+        key = uuid7.make()
+        first = self.send(self.vms[0], key=key, body=b"pay")
+        self.assertEqual("done", first.outcome)
+        fleet.wait_for(
+            lambda: (
+                self.send(self.vms[1], key=key, body=b"pay").outcome == "done"
+            ),
+            10,
+            "replayed answer",
+        )
+        again = self.send(self.vms[2], key=key, body=b"pay")
+        self.assertEqual(first.body, again.body)
+        self.assertEqual("true", again.headers["Wisterialug-Replayed"])
+        self.assertEqual({first.tag: 1}, self.runs_by_tag())
+
+    def test_key_with_another_body_is_refused(self):
+        key = uuid7.make()
+        self.send(self.vms[0], key=key, body=b"pay 1")
+        other = self.send(self.vms[1], key=key, body=b"pay 2")
+        self.assertEqual((422, "not-run"), (other.status, other.outcome))
+
+    def test_keys_of_customers_never_meet(self):
+        self.fleet.vms["instance-1-2"]["customer"] = "himalaya"
+        self.fleet.publish()
+        key = uuid7.make()
+        self.send(self.vms[0], key=key)
+
+        def other():
+            return self.send(self.vms[0], key=key, customer="himalaya")
+
+        fleet.wait_for(lambda: other().outcome == "done", 10, "other customer")
+        self.assertEqual(2, sum(self.runs_by_tag().values()))
+
+    def test_lost_answers_of_the_table(self):
+        answers = []
+        for _ in range(10):
+            self.fleet.set_table(lose_answers=3)
+            answers += self.send_many(self.vms, 12)
+        self.fleet.set_table(lose_answers=0)
+        self.check_answers(answers)
+        self.assertTrue(self.outcomes(answers)["done"] > 60)
+
+    def test_outage_of_the_table(self):
+        self.fleet.set_table(down=True)
+        refused = self.send(self.vms[0], timeout_ms=1500)
+        self.assertEqual(("not-run", 503), (refused.outcome, refused.status))
+        lookup = self.send(self.vms[0], method="GET")
+        self.assertEqual("done", lookup.outcome)
+        self.fleet.set_table(down=False)
+        fleet.wait_for(
+            lambda: self.send(self.vms[0]).outcome == "done", 20, "recovery"
+        )
+        self.assertNotIn(refused.tag, self.runs_by_tag())
+
+    def test_one_key_sent_everywhere_at_once_runs_once(self):
+        for _ in range(8):
+            key = uuid7.make()
+            answers = self.send_many(self.vms, 9, key=key, body=b"pay")
+            ran = self.runs_by_tag()
+            tags = [a.tag for a in answers if a.tag in ran]
+            self.assertEqual(1, len(tags))
+
+
+class OtherDataCentreTest(base.IntegrationTest):
+    shape = fleet.Shape(data_centres=2, entry_vms=2)
+
+    def test_requests_go_where_instances_are_left(self):
+        for name in list(self.fleet.vms):
+            if name.startswith("instance-1"):
+                self.fleet.vms[name]["state"] = "VM_STATE_LEAVING"
+        self.fleet.publish()
+
+        def forwarded():
+            answer = self.send("vm-1-1", method="GET")
+            return answer.outcome == "done" and answer.json()[
+                "instance"
+            ].startswith("instance-2")
+
+        fleet.wait_for(forwarded, 10, "forwarded request")
+        self.check_answers(self.send_many(["vm-1-1", "vm-1-2"], 40))
+
+
+class LeavingInstanceTest(base.IntegrationTest):
+    def test_drained_instance_gets_nothing_new(self):
+        self.send_many(self.vms, 30, method="GET")
+        told = self.operate(
+            "POST", "/v1/drains", {"kind": "instance", "id": "instance-1-1"}
+        )
+        self.wait_in_force(told["revision"])
+        before = self.instance_logs()["instance-1-1"]["count"]
+        answers = self.send_many(self.vms, 60, method="GET")
+        self.assertEqual({"done": 60}, self.outcomes(answers))
+        after = self.instance_logs()["instance-1-1"]["count"]
+        self.assertEqual(before, after)
