--- a/packages/wisterialug-daemon/src/wisterialug_daemon/__main__.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/__main__.py
@@ -16,7 +16,12 @@
 
 from wisterialug_core import settings  # noqa: E402
 from wisterialug_core.schema import settings_pb2  # noqa: E402
-from wisterialug_daemon import application, logs, tracing  # noqa: E402
+from wisterialug_daemon import (  # noqa: E402
+    application,
+    logs,
+    settings_check,
+    tracing,
+)
 
 EXIT_BAD_SETTINGS = 2
 
@@ -30,8 +35,13 @@
         sys.argv[1:],
         os.environ,
     )
-    if parsed.is_err():
-        for fault in parsed.err_value:
+    faults = (
+        parsed.err_value
+        if parsed.is_err()
+        else settings_check.check(parsed.ok_value)
+    )
+    if faults:
+        for fault in faults:
             print(f"wisterialugd: {fault}", file=sys.stderr)
         return EXIT_BAD_SETTINGS
     cfg = parsed.ok_value
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/http/server.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/http/server.py
@@ -50,7 +50,10 @@
     def __init__(
         self, ip: str, port: int, application: Callable[..., Iterable[bytes]]
     ) -> None:
-        self._socket = eventlet.listen((ip, port), backlog=BACKLOG)
+        # Two lives of a VM must never listen side by side.
+        self._socket = eventlet.listen(
+            (ip, port), backlog=BACKLOG, reuse_port=False
+        )
         self._pool = eventlet.GreenPool(MAX_CONNECTIONS)
         # Shared with the server, which reads it for each answer.
         self._started = eventlet.event.Event()
--- /dev/null
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/settings_check.py
@@ -0,0 +1,55 @@
+"""Checks of settings that depend on each other."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from wisterialug_core import errors, settings
+
+if TYPE_CHECKING:
+    from wisterialug_core.schema import settings_pb2
+
+# A new owner needs the session lease and up to as much again until it has
+# reached all workers; tasks must outlive that.
+TASK_LEASES_PER_SESSION_LEASE = 2
+_PORTS = ("caller_port", "operator_port", "peer_port", "metrics_port")
+
+
+def check(cfg: settings_pb2.DaemonSettings) -> list[errors.SettingError]:
+    """Returns one error for each setting that does not fit the others."""
+    faults = []
+    least = TASK_LEASES_PER_SESSION_LEASE * cfg.session_lease_s
+    if cfg.task_lease_s < least:
+        faults.append(
+            _fault(
+                cfg,
+                "task_lease_s",
+                f"{least:g} s or more, twice"
+                " --session-lease-s, so that tasks outlive a change of owner",
+            )
+        )
+    if cfg.suspect_after_s < 2 * cfg.heartbeat_interval_s:
+        faults.append(
+            _fault(cfg, "suspect_after_s", "two --heartbeat-interval-s or more")
+        )
+    if cfg.dead_after_s <= cfg.suspect_after_s:
+        faults.append(
+            _fault(cfg, "dead_after_s", "more than --suspect-after-s")
+        )
+    if cfg.drain_timeout_s <= cfg.balancer_lag_s:
+        faults.append(
+            _fault(cfg, "drain_timeout_s", "more than --balancer-lag-s")
+        )
+    used: set[int] = set()
+    for name in _PORTS:
+        if getattr(cfg, name) in used:
+            faults.append(_fault(cfg, name, "a port of its own"))
+        used.add(getattr(cfg, name))
+    return faults
+
+
+def _fault(
+    cfg: settings_pb2.DaemonSettings, name: str, allowed: str
+) -> errors.SettingError:
+    value = getattr(cfg, name)
+    return errors.SettingError(settings.flag_name(name), f"{value:g}", allowed)
--- a/packages/wisterialug-standins/src/wisterialug_standins/fleet.py
+++ b/packages/wisterialug-standins/src/wisterialug_standins/fleet.py
@@ -9,6 +9,7 @@
 import pathlib
 import random
 import signal
+import socket
 import subprocess
 import sys
 import tempfile
@@ -27,6 +28,7 @@
 TABLE_PORT = 8090
 VM_LIST_PORT = 8091
 CONTROL_PORT = 8092
+LOCK_PORT = 8099
 UPSTREAM_PORT = 8100
 TOKEN = "operators-token"
 POLL_S = 0.05
@@ -84,7 +86,7 @@
         self.shape = shape
         self._stack = contextlib.ExitStack()
         # Fleets that run side by side differ in the second byte.
-        self._net = random.SystemRandom().randrange(16, 250)
+        self._net = self._reserve_net()
         self.http = urllib3.PoolManager(num_pools=64, maxsize=16, retries=False)
         self._log_dir = pathlib.Path(
             log_dir or self._stack.enter_context(tempfile.TemporaryDirectory())
@@ -112,6 +114,19 @@
         """Stops everything."""
         self.close()
 
+    def _reserve_net(self) -> int:
+        """Takes a second byte that no other fleet on this machine uses."""
+        while True:
+            net = random.SystemRandom().randrange(16, 250)
+            lock = socket.socket()
+            try:
+                lock.bind((f"127.{net}.0.1", LOCK_PORT))
+            except OSError:
+                lock.close()
+                continue
+            self._stack.callback(lock.close)
+            return net
+
     # Layout.
 
     def ip(self, third: int, fourth: int) -> str:
--- /dev/null
+++ b/tests/test_daemon/test_settings_check.py
@@ -0,0 +1,61 @@
+"""Tests of settings that depend on each other, and of a bad start."""
+
+import os
+import subprocess
+import sys
+
+import testtools
+
+from wisterialug_core.schema import settings_pb2
+from wisterialug_daemon import settings_check
+
+
+def _settings(**changed):
+    values = {
+        "session_lease_s": 5,
+        "task_lease_s": 10,
+        "heartbeat_interval_s": 0.5,
+        "suspect_after_s": 1.5,
+        "dead_after_s": 2.5,
+        "drain_timeout_s": 20,
+        "balancer_lag_s": 1,
+        "caller_port": 1,
+        "operator_port": 2,
+        "peer_port": 3,
+        "metrics_port": 4,
+        **changed,
+    }
+    return settings_pb2.DaemonSettings(**values)
+
+
+class SettingsCheckTest(testtools.TestCase):
+    def test_good_settings(self):
+        self.assertEqual([], settings_check.check(_settings()))
+
+    def test_each_clash_is_named(self):
+        cases = {
+            "task_lease_s": 9,
+            "suspect_after_s": 0.6,
+            "dead_after_s": 1.5,
+            "drain_timeout_s": 1,
+            "metrics_port": 1,
+        }
+        for name, value in cases.items():
+            faults = settings_check.check(_settings(**{name: value}))
+            self.assertEqual(
+                ["--" + name.replace("_", "-")], [f.name for f in faults]
+            )
+
+
+class StartTest(testtools.TestCase):
+    def test_bad_settings_end_the_start_with_all_faults(self):
+        done = subprocess.run(
+            [sys.executable, "-m", "wisterialug_daemon", "--caller-port=0"],
+            env={**os.environ, "WISTERIALUG_MAX_QUEUE": "many"},
+            capture_output=True,
+            text=True,
+            check=False,
+        )
+        self.assertEqual(2, done.returncode)
+        for text in ("--caller-port: '0'", "--max-queue: 'many'", "--vm-id"):
+            self.assertIn(text, done.stderr)
--- /dev/null
+++ b/tests/test_integration/test_edges.py
@@ -0,0 +1,197 @@
+"""Bad input at every edge gets a clear error and changes nothing."""
+
+import json
+import pathlib
+import socket
+import subprocess
+import sys
+import tempfile
+
+from tests.test_integration import base
+from wisterialug_standins import fleet, uuid7
+
+
+class EdgeTest(base.IntegrationTest):
+    shape = fleet.Shape(data_centres=1, entry_vms=1, workers=1, instances=1)
+
+    def call(self, method="GET", path="/services/dispatch/x", **headers):
+        body = headers.pop("body", None)
+        url = self.fleet.daemons["vm-1-1"].callers + path
+        names = {"Wisterialug-Customer": "siam"}
+        names.update({k.replace("_", "-"): v for k, v in headers.items()})
+        resp = self.fleet.http.request(method, url, body=body, headers=names)
+        return resp
+
+    def test_callers_are_told_what_is_wrong(self):
+        old = uuid7.make(unix_ms=1_600_000_000_000)
+        cases = [
+            (dict(path="/"), 404, "unknown-path"),
+            (dict(path="/services/none/x"), 404, "unknown-service"),
+            (dict(Wisterialug_Customer="nobody"), 403, "unknown-customer"),
+            (dict(Wisterialug_Customer=""), 400, "customer-required"),
+            (dict(Wisterialug_Timeout_Ms="soon"), 400, "bad-timeout"),
+            (dict(Wisterialug_Timeout_Ms="0"), 400, "bad-timeout"),
+            (dict(method="POST"), 400, "idempotency-key-required"),
+            (
+                dict(method="POST", Idempotency_Key="one"),
+                400,
+                "bad-idempotency-key",
+            ),
+            (
+                dict(method="POST", Idempotency_Key=old),
+                400,
+                "bad-idempotency-key",
+            ),
+            (dict(method="POST", body=b"x" * 1_100_000), 413, "body-too-large"),
+        ]
+        for headers, status, reason in cases:
+            resp = self.call(**headers)
+            self.assertEqual(status, resp.status, headers)
+            told = json.loads(resp.data)
+            self.assertTrue(told["type"].endswith(":" + reason), told)
+            self.assertEqual("not-run", resp.headers["Wisterialug-Outcome"])
+            self.assertEqual("not-run", told["outcome"])
+        self.assertEqual(0, self.instance_logs()["instance-1-1"]["count"])
+
+    def test_malformed_requests_end_the_connection_only(self):
+        ip = self.fleet.daemons["vm-1-1"].ip
+        cases = [
+            b"\x00\x01\x02\r\n\r\n",
+            b"GET / HTTP/9.9\r\n\r\n",
+            b"POST /services/dispatch/x HTTP/1.1\r\nContent-Length: -1\r\n\r\n",
+            b"POST /services/dispatch/x HTTP/1.1\r\nContent-Length: 10\r\n\r\nab",
+            b"GET /" + b"a" * 10000 + b" HTTP/1.1\r\n\r\n",
+            b"GET / HTTP/1.1\r\n" + b"X: " + b"a" * 70000 + b"\r\n\r\n",
+        ]
+        for case in cases:
+            with socket.create_connection((ip, fleet.CALLER_PORT)) as conn:
+                conn.settimeout(5)
+                conn.sendall(case)
+                conn.shutdown(socket.SHUT_WR)
+                while conn.recv(65536):
+                    pass
+        self.assertEqual("done", self.send("vm-1-1").outcome)
+
+    def test_stopped_service_is_refused_as_not_run(self):
+        told = self.operate(
+            "POST", "/v1/services/siam/lookups", {"state": "stopped"}
+        )
+        self.wait_in_force(told["revision"])
+        resp = self.call(path="/services/lookups/x")
+        self.assertEqual(503, resp.status)
+        self.assertIn("service-stopped", resp.data.decode())
+
+    def test_trace_context_reaches_the_instance(self):
+        trace = "4bf92f3577b34da6a3ce929d0e0e4736"
+        resp = self.call(traceparent=f"00-{trace}-00f067aa0ba902b7-01")
+        self.assertIn(trace, json.loads(resp.data)["traceparent"])
+
+    def test_operators_are_told_what_is_wrong(self):
+        key = "limit/siam/customer/siam"
+        cases = [
+            ("GET", "/v1/none", None, 404, ""),
+            ("POST", "/v1/table/apply", {}, 400, "field changes"),
+            (
+                "POST",
+                "/v1/table/apply",
+                {"changes": [_cell(key, "weight", "300", "x")]},
+                400,
+                "column weight: 'x'",
+            ),
+            (
+                "POST",
+                "/v1/table/apply",
+                {"changes": [_cell(key, "weight", "299", "301")]},
+                409,
+                "changed from '299' to '300'",
+            ),
+            (
+                "POST",
+                "/v1/table/apply",
+                {"changes": [{"row": 1}]},
+                400,
+                "row",
+            ),
+            ("POST", "/v1/services", {"customer": "siam"}, 400, "field name"),
+            (
+                "POST",
+                "/v1/services",
+                {"customer": "nobody", "name": "a"},
+                400,
+                "field customer",
+            ),
+            (
+                "POST",
+                "/v1/services/siam/dispatch",
+                {"state": "up"},
+                400,
+                "field state",
+            ),
+            ("POST", "/v1/drains", {"kind": "x", "id": "a"}, 400, "kind"),
+            ("POST", "/v1/drains", {"kind": "vm", "id": "a"}, 404, ""),
+            ("POST", "/v1/jobs", {"tasks": "many"}, 400, "tasks"),
+            ("POST", "/v1/jobs", {"customer": "nobody"}, 400, "field tasks"),
+            ("GET", "/v1/jobs/none", None, 404, ""),
+        ]
+        for method, path, body, status, text in cases:
+            told = self.operate(method, path, body, expect=status)
+            self.assertIn(text, " ".join(told["details"]), (path, told))
+
+    def test_wrong_token(self):
+        url = self.fleet.daemons["vm-1-1"].operators + "/v1/status"
+        for headers in ({}, {"Authorization": "Bearer wrong"}):
+            resp = self.fleet.http.request("GET", url, headers=headers)
+            self.assertEqual(401, resp.status)
+
+    def test_command_line_exit_codes(self):
+        with tempfile.TemporaryDirectory() as name:
+            folder = pathlib.Path(name)
+            (folder / "token").write_text(fleet.TOKEN)
+            (folder / "wrong").write_text("wrong")
+            (folder / "bad.csv").write_text("customer,kind,name\nsiam,x,a\n")
+            old = "customer,kind,name,weight\nsiam,customer,siam,{}\n"
+            (folder / "edit.csv").write_text(old.format(500))
+            (folder / "edit.csv.base").write_text(old.format(200))
+            server = self.fleet.daemons["vm-1-1"].operators
+            cases = [
+                ((server, "token", "status"), 0, ""),
+                ((server, "wrong", "status"), 5, "token"),
+                (("http://127.0.0.1:9", "token", "status"), 4, "reached"),
+                ((server, "none", "status"), 2, "--token-file"),
+                (("host", "token", "status"), 2, "--server"),
+                (
+                    (server, "token", "table", "apply", folder / "bad.csv"),
+                    1,
+                    "row 2, column kind: 'x'",
+                ),
+                (
+                    (server, "token", "table", "apply", folder / "edit.csv"),
+                    3,
+                    "changed from '200' to '300'",
+                ),
+                ((server, "token", "job", "show", "none"), 1, "no job"),
+                ((server, "token", "job"), 2, "usage"),
+            ]
+            for (url, token, *args), code, text in cases:
+                done = self.run_cli(url, folder / token, *args)
+                self.assertEqual(code, done.returncode, (args, done.stderr))
+                self.assertIn(text, done.stderr)
+
+    def run_cli(self, url, token, *args):
+        return subprocess.run(
+            [
+                sys.executable,
+                "-m",
+                "wisterialug_cli",
+                f"--server={url}",
+                f"--token-file={token}",
+                *[str(arg) for arg in args],
+            ],
+            capture_output=True,
+            text=True,
+            check=False,
+        )
+
+
+def _cell(key, column, base_value, value):
+    return {"key": key, "column": column, "base": base_value, "value": value}
