--- a/packages/wisterialug-standins/src/wisterialug_standins/experiment.py
+++ b/packages/wisterialug-standins/src/wisterialug_standins/experiment.py
@@ -19,7 +19,6 @@
     fleet,
     ideal_queue,
     load,
-    placement_experiment,
     report,
 )
 
@@ -188,18 +187,14 @@
 def main() -> int:
     """Runs the experiment that the arguments name."""
     parser = argparse.ArgumentParser(prog="experiment")
-    parser.add_argument("name", choices=("routing", "placement"))
+    parser.add_argument("name", choices=("routing",))
     parser.add_argument("--seconds", type=float, default=8.0)
     parser.add_argument("--out", default="out")
     args = parser.parse_args()
     started = time.monotonic()
-    if args.name == "routing":
-        rows = routing(args.seconds)
-        bars = ("scenario", "p99_ms")
-    else:
-        rows = placement_experiment.run()
-        bars = ("user", "score")
-    report.write(rows, args.name, pathlib.Path(args.out), bars)
+    rows = routing(args.seconds)
+    out = pathlib.Path(args.out)
+    report.write(rows, args.name, out, ("scenario", "p99_ms"))
     print(f"{time.monotonic() - started:.0f} s")
     return 0
 
--- a/packages/wisterialug-standins/src/wisterialug_standins/placement_experiment.py
+++ /dev/null
@@ -1,5 +0,0 @@
-"""Compares placements; filled in below."""
-
-
-def run():
-    raise NotImplementedError
--- a/tests/test_core/test_shard_machine.py
+++ b/tests/test_core/test_shard_machine.py
@@ -7,6 +7,7 @@
 
 import copy
 import dataclasses
+import itertools
 
 import testtools
 from hypothesis import Phase, seed, settings
@@ -443,7 +444,7 @@
             tasks.setdefault(task, []).append(attempt)
         for task, attempts in tasks.items():
             attempts.sort()
-            for before, after in zip(attempts, attempts[1:], strict=False):
+            for before, after in itertools.pairwise(attempts):
                 first = by_attempt[task, before]
                 if first.end == "ATTEMPT_END_EVICTED":
                     resumed = by_attempt[task, after].resumed_ms
--- a/tests/test_integration/test_edges.py
+++ b/tests/test_integration/test_edges.py
@@ -19,30 +19,33 @@
         url = self.fleet.daemons["vm-1-1"].callers + path
         names = {"Wisterialug-Customer": "siam"}
         names.update({k.replace("_", "-"): v for k, v in headers.items()})
-        resp = self.fleet.http.request(method, url, body=body, headers=names)
-        return resp
+        return self.fleet.http.request(method, url, body=body, headers=names)
 
     def test_callers_are_told_what_is_wrong(self):
         old = uuid7.make(unix_ms=1_600_000_000_000)
         cases = [
-            (dict(path="/"), 404, "unknown-path"),
-            (dict(path="/services/none/x"), 404, "unknown-service"),
-            (dict(Wisterialug_Customer="nobody"), 403, "unknown-customer"),
-            (dict(Wisterialug_Customer=""), 400, "customer-required"),
-            (dict(Wisterialug_Timeout_Ms="soon"), 400, "bad-timeout"),
-            (dict(Wisterialug_Timeout_Ms="0"), 400, "bad-timeout"),
-            (dict(method="POST"), 400, "idempotency-key-required"),
+            ({"path": "/"}, 404, "unknown-path"),
+            ({"path": "/services/none/x"}, 404, "unknown-service"),
+            ({"Wisterialug_Customer": "nobody"}, 403, "unknown-customer"),
+            ({"Wisterialug_Customer": ""}, 400, "customer-required"),
+            ({"Wisterialug_Timeout_Ms": "soon"}, 400, "bad-timeout"),
+            ({"Wisterialug_Timeout_Ms": "0"}, 400, "bad-timeout"),
+            ({"method": "POST"}, 400, "idempotency-key-required"),
             (
-                dict(method="POST", Idempotency_Key="one"),
+                {"method": "POST", "Idempotency_Key": "one"},
                 400,
                 "bad-idempotency-key",
             ),
             (
-                dict(method="POST", Idempotency_Key=old),
+                {"method": "POST", "Idempotency_Key": old},
                 400,
                 "bad-idempotency-key",
             ),
-            (dict(method="POST", body=b"x" * 1_100_000), 413, "body-too-large"),
+            (
+                {"method": "POST", "body": b"x" * 1_100_000},
+                413,
+                "body-too-large",
+            ),
         ]
         for headers, status, reason in cases:
             resp = self.call(**headers)
--- a/tests/test_integration/test_tasks.py
+++ b/tests/test_integration/test_tasks.py
@@ -1,5 +1,6 @@
 """Batch tasks on real daemons, with faults."""
 
+import itertools
 import signal
 
 from tests.test_integration import base
@@ -107,7 +108,7 @@
     def test_cancelled_job_ends(self):
         self.wait_owner()
         job = self.submit(tasks=40, run_ms=60000)
-        fleet.wait_for(lambda: self.worker_runs(), 20, "some started")
+        fleet.wait_for(self.worker_runs, 20, "some started")
         self.operate("POST", f"/v1/jobs/{job}/cancel", {})
         fleet.wait_for(
             lambda: self.job_states(job) == {"cancelled": 40}, 20, "cancelled"
@@ -147,7 +148,7 @@
         self.wait_done(job, 12)
         for runs in self.worker_runs().values():
             runs.sort(key=lambda run: run["attempt"])
-            for before, after in zip(runs, runs[1:], strict=False):
+            for before, after in itertools.pairwise(runs):
                 self.assertEqual("ATTEMPT_END_EVICTED", before["end"])
                 self.assertEqual(before["checkpoint_ms"], after["resumed_ms"])
 
