Overload and colocation: slots held until answered; interference learned

Planning re-keyed all jobs for each task. Change: a slot stays taken until the instance has answered; admission counts with mean plus four mean deviations of the service time; planning uses a heap and forgets needs that fit nowhere. Services beside batch tasks: slopes by pair learned from late samples, a placement that keeps to the target, and a reaction (throttle, move) that waits for its effect.

--- a/packages/wisterialug-core/src/wisterialug_core/decisions/admission.py
+++ b/packages/wisterialug-core/src/wisterialug_core/decisions/admission.py
@@ -20,6 +20,8 @@
 _T = TypeVar("_T")
 
 SERVICE_TIME_WEIGHT = 0.05
+# Mean deviations above the mean service time that a request gets.
+DEVIATIONS = 4.0
 DEFAULT_WEIGHT = 100
 
 
@@ -80,6 +82,12 @@
         self._order = itertools.count()
         self._size = 0
         self.service_time_s = 0.0
+        self._deviation_s = 0.0
+
+    @property
+    def time_needed_s(self) -> float:
+        """Time in which nearly all requests are answered once sent."""
+        return self.service_time_s + DEVIATIONS * self._deviation_s
 
     def __len__(self) -> int:
         return self._size
@@ -93,7 +101,7 @@
     def meets(self, deadline: float, slots: int, now: float) -> bool:
         """Tells whether a new request can be answered by its deadline."""
         wait_s = self.expected_wait_s(slots)
-        return now + wait_s + self.service_time_s < deadline
+        return now + wait_s + self.time_needed_s < deadline
 
     def push(self, customer: str, deadline: float, item: _T) -> Waiting[_T]:
         """Adds a request."""
@@ -119,7 +127,7 @@
                 continue
             waiting.gone = True
             self._size -= 1
-            if waiting.deadline > now + self.service_time_s:
+            if waiting.deadline > now + self.time_needed_s:
                 return waiting, expired
             expired.append(waiting)
         return None, expired
@@ -132,7 +140,10 @@
     def learn(self, seconds: float) -> None:
         """Takes the time that an instance took for a request."""
         weight = SERVICE_TIME_WEIGHT if self.service_time_s else 1.0
-        self.service_time_s += weight * (seconds - self.service_time_s)
+        error_s = seconds - self.service_time_s
+        self.service_time_s += weight * error_s
+        if weight < 1.0:
+            self._deviation_s += weight * (abs(error_s) - self._deviation_s)
 
 
 class CustomerShares:
--- /dev/null
+++ b/packages/wisterialug-core/src/wisterialug_core/decisions/colocation.py
@@ -0,0 +1,111 @@
+"""Services and batch tasks on one worker: samples, predictions, reactions."""
+
+from __future__ import annotations
+
+import math
+from typing import TYPE_CHECKING
+
+from wisterialug_core.decisions import interference, reaction
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Sequence
+
+    from wisterialug_core.decisions import worker_book
+    from wisterialug_core.schema import work_pb2
+
+# Load that a service may gain before a placement's effect is seen.
+LOAD_HEADROOM = 0.1
+
+
+class Colocation:
+    """Learns from workers' samples and decides what follows.
+
+    One object serves all shards of a VM, so that they learn together.
+    """
+
+    def __init__(
+        self,
+        target_ratio: float = math.inf,
+        model: interference.InterferenceModel | None = None,
+        *,
+        learning: bool = True,
+    ) -> None:
+        self.target_ratio = target_ratio
+        self.model = model or interference.InterferenceModel()
+        self._learning = learning
+
+    def slowdown(
+        self,
+        book: worker_book.WorkerBook,
+        kind_of: Callable[[worker_book.HeldAttempt], str],
+        job: work_pb2.Job,
+    ) -> float:
+        """Predicts the worst service of a worker with one more task."""
+        if not book.service_loads:
+            return 1.0
+        shares = _shares(book, kind_of)
+        added = _share(book, job.each.cpu_millicores)
+        shares[job.kind] = shares.get(job.kind, 0.0) + added
+        return max(
+            self.model.predict(service, shares, load + LOAD_HEADROOM)
+            for service, load in book.service_loads.items()
+        )
+
+    def take_samples(
+        self,
+        book: worker_book.WorkerBook,
+        resp: work_pb2.WorkerSyncResponse,
+        evictable: Sequence[tuple[worker_book.HeldAttempt, str]],
+    ) -> None:
+        """Learns from the new samples of a worker and reacts to them."""
+        for sample in resp.services:
+            if sample.taken_ms <= book.sampled_ms.get(sample.service, -1):
+                continue
+            book.sampled_ms[sample.service] = sample.taken_ms
+            load = sample.load_percent / 100
+            book.service_loads[sample.service] = load
+            shares = {n.kind: n.cpu_percent / 100 for n in sample.neighbours}
+            if not self._learning:
+                continue
+            ratio = self.model.learn(
+                sample.service, shares, load, sample.latency_us
+            )
+            if ratio is not None:
+                self._react(book, sample, ratio, resp.clock_ms, evictable)
+
+    def _react(
+        self,
+        book: worker_book.WorkerBook,
+        sample: work_pb2.ServiceSample,
+        ratio: float,
+        now_ms: int,
+        evictable: Sequence[tuple[worker_book.HeldAttempt, str]],
+    ) -> None:
+        step = book.reaction.on_sample(ratio, sample.taken_ms, now_ms)
+        if step is not reaction.Step.MOVE or not evictable:
+            return
+
+        def harm(option: tuple[worker_book.HeldAttempt, str]) -> float:
+            attempt, kind = option
+            slope = self.model.slope(sample.service, kind)
+            return slope * attempt.need.cpu_millicores
+
+        worst = max(evictable, key=harm)
+        worst[0].stopping = True
+
+
+def _shares(
+    book: worker_book.WorkerBook,
+    kind_of: Callable[[worker_book.HeldAttempt], str],
+) -> dict[str, float]:
+    """Returns the part of a worker's processors by kind of batch work."""
+    shares: dict[str, float] = {}
+    for attempt in book.held.values():
+        kind = kind_of(attempt)
+        used = _share(book, attempt.need.cpu_millicores)
+        shares[kind] = shares.get(kind, 0.0) + used
+    return shares
+
+
+def _share(book: worker_book.WorkerBook, cpu_millicores: int) -> float:
+    return cpu_millicores / max(1, book.capacity.cpu_millicores)
--- a/packages/wisterialug-core/src/wisterialug_core/decisions/placement.py
+++ b/packages/wisterialug-core/src/wisterialug_core/decisions/placement.py
@@ -4,6 +4,7 @@
 
 import abc
 import dataclasses
+import math
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
@@ -17,13 +18,17 @@
 
 @dataclasses.dataclass(frozen=True)
 class Candidate:
-    """A worker that has room for the task."""
+    """A worker that has room for the task.
+
+    Attributes:
+      slowdown: Predicted latency of the worker's worst service with the task
+        beside it, relative to alone.
+    """
 
     worker: str
     free: resources.Amount
     capacity: resources.Amount
-    services: tuple[str, ...] = ()
-    load: float = 0.0
+    slowdown: float = 1.0
 
 
 class Placement(abc.ABC):
@@ -33,15 +38,16 @@
     def choose(
         self,
         need: resources.Amount,
-        kind: str,
         candidates: Sequence[Candidate],
-    ) -> Candidate:
-        """Returns one of the candidates, which are at least one.
+        *,
+        pressing: bool,
+    ) -> Candidate | None:
+        """Returns one of the candidates, or None if the task had better wait.
 
         Args:
           need: What the task takes.
-          kind: Kind of batch work, as the job names it.
-          candidates: Workers with enough room, ordered by id.
+          candidates: Workers with enough room; at least one.
+          pressing: Whether the task goes before latency targets.
         """
 
 
@@ -51,11 +57,12 @@
     def choose(
         self,
         need: resources.Amount,
-        kind: str,
         candidates: Sequence[Candidate],
-    ) -> Candidate:
+        *,
+        pressing: bool,
+    ) -> Candidate | None:
         """Returns the first candidate."""
-        del need, kind
+        del need, pressing
         return candidates[0]
 
 
@@ -65,55 +72,57 @@
     def choose(
         self,
         need: resources.Amount,
-        kind: str,
         candidates: Sequence[Candidate],
-    ) -> Candidate:
+        *,
+        pressing: bool,
+    ) -> Candidate | None:
         """Returns the candidate with the least left over."""
-        del kind
+        del pressing
         return min(candidates, key=lambda one: _left_over(need, one))
 
 
 class LeastInterference(Placement):
-    """Takes the worker whose services the task is predicted to slow least."""
+    """Keeps services within their target, then fills workers.
+
+    A task that would bring each candidate's service over its target waits,
+    unless it is pressing.
+    """
 
-    def __init__(self, predict: Callable[[str, str, float], float]) -> None:
-        self._predict = predict
+    def __init__(self, target_ratio: float) -> None:
+        self._target_ratio = target_ratio
 
     def choose(
         self,
         need: resources.Amount,
-        kind: str,
         candidates: Sequence[Candidate],
-    ) -> Candidate:
-        """Returns the candidate with the least slowdown, then the fullest."""
+        *,
+        pressing: bool,
+    ) -> Candidate | None:
+        """Returns the candidate with the least slowdown and slack."""
 
         def cost(one: Candidate) -> float:
-            slowdown = sum(
-                self._predict(service, kind, one.load) - 1.0
-                for service in one.services
-            )
-            return slowdown + SLACK_WEIGHT * _left_over(need, one)
+            return one.slowdown + SLACK_WEIGHT * _left_over(need, one)
 
-        return min(candidates, key=cost)
+        best = min(candidates, key=cost)
+        if best.slowdown > self._target_ratio and not pressing:
+            return None
+        return best
 
 
 def _left_over(need: resources.Amount, one: Candidate) -> float:
     return one.free.minus(need).dominant_share(one.capacity)
 
 
-def _no_interference(service: str, kind: str, load: float) -> float:
-    del service, kind, load
-    return 1.0
-
+def make(name: str, target_ratio: float = math.inf) -> Placement:
+    """Returns the placement policy that a setting names.
 
-def make(
-    name: str,
-    predict: Callable[[str, str, float], float] = _no_interference,
-) -> Placement:
-    """Returns the placement policy that a setting names."""
+    Args:
+      name: Name of the policy.
+      target_ratio: Latency relative to alone that services may have.
+    """
     makers: Mapping[str, Callable[[], Placement]] = {
         "first-fit": FirstFit,
         "best-fit": BestFit,
-        "least-interference": lambda: LeastInterference(predict),
+        "least-interference": lambda: LeastInterference(target_ratio),
     }
     return makers[name]()
--- a/packages/wisterialug-core/src/wisterialug_core/decisions/shard.py
+++ b/packages/wisterialug-core/src/wisterialug_core/decisions/shard.py
@@ -9,14 +9,16 @@
 from __future__ import annotations
 
 import dataclasses
+import heapq
 from typing import TYPE_CHECKING
 
-from wisterialug_core.decisions import placement as placement_lib
 from wisterialug_core.decisions import (
+    colocation,
     resources,
     task_order,
     worker_book,
 )
+from wisterialug_core.decisions import placement as placement_lib
 from wisterialug_core.schema import work_pb2
 
 if TYPE_CHECKING:
@@ -96,6 +98,7 @@
         lease_s: float,
         placement: placement_lib.Placement,
         limits_of: Callable[[task_order.Group], task_order.Limits],
+        colocation_: colocation.Colocation | None = None,
     ) -> None:
         self.shard = shard
         self.epoch = epoch
@@ -105,6 +108,7 @@
         self._lease_s = lease_s
         self._placement = placement
         self._limits_of = limits_of
+        self._colocation = colocation_ or colocation.Colocation()
         self._jobs: dict[str, work_pb2.Job] = {}
         self._chunks: dict[ChunkKey, work_pb2.Chunk] = {}
         self._tasks: dict[str, work_pb2.Task] = {}
@@ -155,6 +159,7 @@
             book = self._workers.get(vm.id)
             if book is None:
                 book = worker_book.WorkerBook(vm.id, resources.ZERO)
+                book.reaction.target_ratio = self._colocation.target_ratio
                 self._workers[vm.id] = book
             book.capacity = resources.of(vm.resources)
             book.listed = True
@@ -204,26 +209,39 @@
             for book in self._workers.values()
             if book.takes_starts(now)
         }
-        blocked: set[str] = set()
-        placed = 0
         self._wait_reasons.clear()
-        while True:
-            jobs = [
-                self._jobs[job]
-                for job, waiting in self._pending.items()
-                if waiting and job not in blocked
-            ]
-            if not jobs:
-                return placed
-            job = min(jobs, key=order.key)
-            count = self._place_some(job, order, free, now)
+        heap = [
+            (order.key(self._jobs[job]), job)
+            for job, waiting in self._pending.items()
+            if waiting
+        ]
+        heapq.heapify(heap)
+        # Needs that no worker has room for; larger ones have none either.
+        too_large: list[resources.Amount] = []
+        placed = 0
+        while heap:
+            held_key, job_id = heapq.heappop(heap)
+            job = self._jobs[job_id]
+            key = order.key(job)
+            if key > held_key:
+                # Its group has got something since.
+                heapq.heappush(heap, (key, job_id))
+                continue
+            need = resources.of(job.each)
+            if any(other.fits(need) for other in too_large):
+                count = 0
+            else:
+                count = self._place_one(job, order, free, now)
+                if not count and not any(map(need.fits, free.values())):
+                    too_large.append(need)
             placed += count
-            if count == 0:
-                blocked.add(job.id)
-                if job.urgent:
-                    self._preempt_for(job, now)
+            if count and self._pending[job_id]:
+                heapq.heappush(heap, (order.key(job), job_id))
+            elif not count and job.urgent:
+                self._preempt_for(job, now)
+        return placed
 
-    def _place_some(
+    def _place_one(
         self,
         job: work_pb2.Job,
         order: task_order.JobOrder,
@@ -242,7 +260,12 @@
             task = self._tasks[name]
             candidates = [
                 placement_lib.Candidate(
-                    worker, room, self._workers[worker].capacity
+                    worker,
+                    room,
+                    self._workers[worker].capacity,
+                    self._colocation.slowdown(
+                        self._workers[worker], self._kinds, job
+                    ),
                 )
                 for worker, room in free.items()
                 if need.fits(room)
@@ -251,12 +274,19 @@
             ]
             if not candidates:
                 continue
-            chosen = self._placement.choose(need, job.kind, candidates)
+            chosen = self._placement.choose(
+                need, candidates, pressing=job.urgent
+            )
+            if chosen is None:
+                self._wait_reasons[job.id] = (
+                    "each worker with room has a service that this kind of"
+                    f" work, {job.kind!r}, is predicted to slow too much"
+                )
+                return 0
             self._start(job, name, chosen.worker)
             free[chosen.worker] = free[chosen.worker].minus(need)
             order.placed(job)
             return 1
-        self._wait_reasons[job.id] = self._why_no_worker(job, free, now)
         return 0
 
     def _start(self, job: work_pb2.Job, name: str, worker: str) -> None:
@@ -398,6 +428,7 @@
             lease_ms=int(self._lease_s * 1000),
             renew_from_ms=book.clock_ms,
             incarnation=book.incarnation,
+            speed_percent=book.reaction.percent,
         )
         for key, attempt in book.held.items():
             if attempt.stage is AttemptStage.COMMITTED and not attempt.stopping:
@@ -450,6 +481,7 @@
         book.incarnation = resp.incarnation
         book.clock_ms = resp.clock_ms
         book.answered_at = now
+        self._colocation.take_samples(book, resp, self._evictable_kinds(book))
         for ref in req.acknowledge:
             book.acknowledge.discard(AttemptKey(ref.task, ref.attempt))
         listed = self._take_running(book, resp)
@@ -716,6 +748,25 @@
         book = self._workers.get(worker)
         return None if book is None else book.held.get(key)
 
+    # Services beside the tasks.
+
+    def _kinds(self, attempt: worker_book.HeldAttempt) -> str:
+        """Returns the kind of batch work that an attempt does."""
+        job = self._jobs.get(task_job(attempt.key.task))
+        return job.kind if job is not None else ""
+
+    def _evictable_kinds(
+        self, book: worker_book.WorkerBook
+    ) -> list[tuple[worker_book.HeldAttempt, str]]:
+        """Returns the attempts that may be stopped for a service's sake."""
+        return [
+            (attempt, self._kinds(attempt))
+            for attempt in book.held.values()
+            if attempt.stage is AttemptStage.RUNNING
+            and not attempt.stopping
+            and self._may_evict(attempt.key.task)
+        ]
+
     # Summaries.
 
     def _usage(self) -> Mapping[task_order.Group, resources.Amount]:
@@ -751,24 +802,21 @@
         """Tells whether chunks of a job are loaded."""
         return job_id in self._jobs
 
-    def explain(self, job_id: str) -> str:
+    def explain(self, job_id: str, now: float) -> str:
         """Returns why tasks of a job wait, in words and numbers."""
         waiting = len(self._pending.get(job_id, {}))
         if not waiting:
             return "no task of this job waits in this shard"
-        reason = self._wait_reasons.get(job_id, "not considered yet")
+        reason = self._wait_reasons.get(job_id) or self._why_no_worker(
+            self._jobs[job_id], now
+        )
         return f"{waiting} tasks wait: {reason}"
 
-    def _why_no_worker(
-        self,
-        job: work_pb2.Job,
-        free: Mapping[str, resources.Amount],
-        now: float,
-    ) -> str:
+    def _why_no_worker(self, job: work_pb2.Job, now: float) -> str:
         need = resources.of(job.each)
         parts = []
         for book in sorted(self._workers.values(), key=lambda b: b.id):
-            room = free.get(book.id, book.free())
+            room = book.free()
             if not book.listed:
                 parts.append(f"{book.id}: not in the VM list")
             elif book.leaving:
--- a/packages/wisterialug-core/src/wisterialug_core/decisions/task_order.py
+++ b/packages/wisterialug-core/src/wisterialug_core/decisions/task_order.py
@@ -55,15 +55,20 @@
         """Returns a sort key; the lowest goes first."""
         if job.urgent:
             return 0, float(job.submitted_unix_ms), 0, job.id
-        if job.deadline_unix_ms:
-            left_ms = job.deadline_unix_ms - self._now
-            if left_ms < RISK_RUN_TIMES * job.run_ms:
-                return 1, float(job.deadline_unix_ms), 0, job.id
+        if self.pressing(job):
+            return 1, float(job.deadline_unix_ms), 0, job.id
         group = group_of(job)
         used = self._usage.get(group, resources.ZERO)
         share = used.dominant_share(self._total) / self._limits(group).weight
         return 2, share, job.deadline_unix_ms or 2**62, job.id
 
+    def pressing(self, job: work_pb2.Job) -> bool:
+        """Tells whether a job is urgent or its deadline at risk."""
+        if job.urgent or not job.deadline_unix_ms:
+            return job.urgent
+        left_ms = job.deadline_unix_ms - self._now
+        return left_ms < RISK_RUN_TIMES * job.run_ms
+
     def within_quota(self, job: work_pb2.Job) -> bool:
         """Tells whether one more task keeps the group within its quota."""
         group = group_of(job)
--- a/packages/wisterialug-core/src/wisterialug_core/decisions/worker_book.py
+++ b/packages/wisterialug-core/src/wisterialug_core/decisions/worker_book.py
@@ -4,8 +4,10 @@
 
 import dataclasses
 import enum
+import math
 from typing import NamedTuple
 
+from wisterialug_core.decisions import reaction as reaction_lib
 from wisterialug_core.decisions import resources, worker_health
 
 
@@ -58,6 +60,13 @@
         default_factory=worker_health.WorkerHealth
     )
 
+    # Load by service, and the newest sample taken of it.
+    service_loads: dict[str, float] = dataclasses.field(default_factory=dict)
+    sampled_ms: dict[str, int] = dataclasses.field(default_factory=dict)
+    reaction: reaction_lib.WorkerReaction = dataclasses.field(
+        default_factory=lambda: reaction_lib.WorkerReaction(math.inf)
+    )
+
     def reserved(self) -> resources.Amount:
         """Returns what all held attempts take."""
         total = resources.ZERO
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/application.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/application.py
@@ -148,6 +148,7 @@
             self._upstream,
             self._members,
             cfg.retry_budget_fraction,
+            cfg.late_answer_limit_s,
         )
 
     def _make_scheduling(self) -> None:
@@ -158,6 +159,7 @@
             cfg.placement_policy,
             cfg.task_lease_s,
             cfg.worker_sync_interval_s,
+            cfg.service_target_ratio,
             self._table,
             self._workers,
             self._inventory,
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/router.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/router.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
+import contextlib
 import math
 import time
 from typing import TYPE_CHECKING
 
+import eventlet
+
 from wisterialug_core.decisions import admission, retry, routing
 from wisterialug_core.schema import config_pb2, peer_pb2
 from wisterialug_daemon import answers, errors, metrics, tracing
@@ -49,6 +52,7 @@
         upstream: upstream_lib.Upstream,
         members: members_lib.Members,
         retry_fraction: float,
+        late_limit_s: float,
     ) -> None:
         self._config = config
         self._instances = instances
@@ -56,6 +60,7 @@
         self._once = once
         self._upstream = upstream
         self._members = members
+        self._late_limit_s = late_limit_s
         self._budget = retry.RetryBudget(retry_fraction)
         self._rates: dict[tuple[str, str], admission.TokenBucket] = {}
         self._running: dict[tuple[str, str], int] = {}
@@ -208,11 +213,24 @@
 
     def _send(
         self, req: answers.CallerRequest, slot: routing.Slot
+    ) -> answers.CallerAnswer:
+        """Sends a request and waits for its answer until the deadline.
+
+        The slot stays taken until the instance has answered, however late,
+        since the instance is busy until then.
+        """
+        exchange = eventlet.spawn(self._exchange, req, slot)
+        with contextlib.suppress(eventlet.Timeout):
+            with eventlet.Timeout(max(0.001, req.deadline - time.monotonic())):
+                return exchange.wait()
+        return _upstream_problem(errors.UpstreamUnansweredError("timeout"))
+
+    def _exchange(
+        self, req: answers.CallerRequest, slot: routing.Slot
     ) -> answers.CallerAnswer:
         """Sends a request to the instance of a slot and frees the slot."""
         instance = slot.instance
         service = (req.customer, req.service)
-        pool = self._instances.pool(service)
         ended = routing.Result.FAILED
         metrics.IN_FLIGHT.inc()
         try:
@@ -223,10 +241,11 @@
                     req.path,
                     {**dict(req.headers), **tracing.outgoing_headers()},
                     req.body,
-                    max(0.001, req.deadline - time.monotonic()),
+                    req.deadline - time.monotonic() + self._late_limit_s,
                 )
             if answer.is_ok():
-                ended = routing.Result.OK
+                if time.monotonic() < req.deadline:
+                    ended = routing.Result.OK
                 return answers.CallerAnswer(
                     answers.Outcome.DONE,
                     answer.ok_value.status,
@@ -240,7 +259,7 @@
         finally:
             metrics.IN_FLIGHT.dec()
             now = time.monotonic()
-            pool.release(slot, ended, now)
+            self._instances.pool(service).release(slot, ended, now)
             if ended is routing.Result.OK:
                 self._room.queue(service).learn(now - slot.started_at)
             self._room.dispatch(service)
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/shards.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/shards.py
@@ -5,7 +5,12 @@
 import time
 from typing import TYPE_CHECKING
 
-from wisterialug_core.decisions import placement, resources, task_order
+from wisterialug_core.decisions import (
+    colocation,
+    placement,
+    resources,
+    task_order,
+)
 from wisterialug_core.decisions import shard as shard_lib
 from wisterialug_core.schema import peer_pb2, work_pb2
 from wisterialug_daemon import metrics, shard_runner
@@ -30,6 +35,7 @@
         placement_policy: str,
         task_lease_s: float,
         sync_interval_s: float,
+        target_ratio: float,
         table: table_lib.TableClient,
         workers: upstream.Workers,
         inventory: vm_inventory.VmInventory,
@@ -42,6 +48,7 @@
         self._placement_policy = placement_policy
         self._task_lease_s = task_lease_s
         self._sync_interval_s = sync_interval_s
+        self._colocation = colocation.Colocation(target_ratio)
         self._table = table
         self._workers = workers
         self._inventory = inventory
@@ -112,7 +119,7 @@
         for shard, runner in self.runners.items():
             scheduler = runner.scheduler
             if scheduler.knows_job(req.job):
-                text = scheduler.explain(req.job)
+                text = scheduler.explain(req.job, now)
                 resp.explanations.add(shard=shard, text=text)
             for book in scheduler.workers():
                 resp.workers.add(
@@ -135,8 +142,11 @@
             epoch,
             self._own_vm,
             self._task_lease_s,
-            placement.make(self._placement_policy),
+            placement.make(
+                self._placement_policy, self._colocation.target_ratio
+            ),
             self._limits_of,
+            self._colocation,
         )
         runner = shard_runner.ShardRunner(
             scheduler,
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/waiting_room.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/waiting_room.py
@@ -106,7 +106,7 @@
         waiting = queue.push(service[0], deadline, ticket)
         self._count(service[0], 1)
         timeout = eventlet.Timeout(
-            max(0.0, deadline - queue.service_time_s - time.monotonic())
+            max(0.0, deadline - queue.time_needed_s - time.monotonic())
         )
         try:
             return ticket.granted.wait()
--- /dev/null
+++ b/packages/wisterialug-standins/src/wisterialug_standins/colocated_worker.py
@@ -0,0 +1,125 @@
+"""A worker model with a service on it that batch tasks slow down."""
+
+from __future__ import annotations
+
+import dataclasses
+import math
+import random
+from typing import TYPE_CHECKING
+
+from wisterialug_core.schema import work_pb2
+from wisterialug_standins import worker_model
+
+if TYPE_CHECKING:
+    from wisterialug_core.decisions import resources
+
+ALONE_US = 20_000.0
+SAMPLE_EVERY_MS = 5_000
+MIN_LAG_MS = 5_000
+MAX_LAG_MS = 15_000
+NOISE = 0.04
+
+
+@dataclasses.dataclass(frozen=True)
+class Truth:
+    """What is true of the workload and hidden from the scheduler."""
+
+    # Slowdown of a service per processor share of a kind, at full load.
+    slopes: dict[tuple[str, str], float]
+    # Length of a day, which the load follows.
+    day_s: float
+    # Real run time and processor use, relative to declared, by job.
+    run_factors: dict[str, float]
+    use_factors: dict[str, float]
+
+    def load(self, now_s: float) -> float:
+        """Returns the load of services at a time."""
+        return 0.65 - 0.35 * math.cos(2 * math.pi * now_s / self.day_s)
+
+
+class ColocatedWorker(worker_model.WorkerModel):
+    """Runs tasks and reports late samples of its service."""
+
+    def __init__(
+        self,
+        name: str,
+        capacity: resources.Amount,
+        service: str,
+        truth: Truth,
+    ) -> None:
+        super().__init__(name, capacity)
+        self._service = service
+        self._truth = truth
+        self._rng = random.Random(name)
+        self._samples: list[tuple[int, work_pb2.ServiceSample]] = []
+        self._shown: list[work_pb2.ServiceSample] = []
+        self._next_sample_ms = 0
+        # Ratio to alone and load, for each second.
+        self.history: list[tuple[float, float]] = []
+        self.work_done = 0.0
+
+    def shares(self) -> dict[str, float]:
+        """Returns the processor shares in use, by kind."""
+        shares: dict[str, float] = {}
+        for run in self.running.values():
+            job = run.task.rpartition("/")[0]
+            use = run.need.cpu_millicores / self.capacity.cpu_millicores
+            kind = job.partition(".")[0]
+            used = use * self._truth.use_factors[job] * self.speed
+            shares[kind] = shares.get(kind, 0.0) + used
+        return shares
+
+    def ratio(self, load: float) -> float:
+        """Returns the service's latency relative to alone."""
+        return 1.0 + load * sum(
+            share * self._truth.slopes[self._service, kind]
+            for kind, share in self.shares().items()
+        )
+
+    def second(self, now_s: float) -> None:
+        """Lets one second pass."""
+        now_ms = int(now_s * 1000)
+        load = self._truth.load(now_s)
+        self.history.append((self.ratio(load), load))
+        before = {key: run.progress_ms for key, run in self.running.items()}
+        needs = {key: run.need for key, run in self.running.items()}
+        self.advance(1000.0, now_ms)
+        for key, progress in before.items():
+            left = self.running.get(key)
+            gained = (
+                left.progress_ms - progress if left else 1000.0 * self.speed
+            )
+            self.work_done += gained * needs[key].cpu_millicores / 1e6
+        if now_ms >= self._next_sample_ms:
+            self._next_sample_ms = now_ms + SAMPLE_EVERY_MS
+            lag = self._rng.randint(MIN_LAG_MS, MAX_LAG_MS)
+            self._samples.append((now_ms + lag, self._sample(load, now_ms)))
+
+    def sync(
+        self, req: work_pb2.WorkerSyncRequest, now_ms: int
+    ) -> work_pb2.WorkerSyncResponse:
+        """Answers with the newest sample that is due as well."""
+        for attempt in req.start:
+            job = attempt.task.rpartition("/")[0]
+            attempt.run_ms = int(attempt.run_ms * self._truth.run_factors[job])
+        resp = super().sync(req, now_ms)
+        due = [one for one in self._samples if one[0] <= now_ms]
+        if due:
+            self._samples = [one for one in self._samples if one[0] > now_ms]
+            self._shown = [max(due, key=lambda one: one[1].taken_ms)[1]]
+        resp.services.extend(self._shown)
+        return resp
+
+    def _sample(self, load: float, now_ms: int) -> work_pb2.ServiceSample:
+        noise = self._rng.gauss(1.0, NOISE)
+        latency = ALONE_US * (1 + 0.3 * load) * self.ratio(load) * noise
+        return work_pb2.ServiceSample(
+            service=self._service,
+            latency_us=int(latency),
+            load_percent=int(load * 100),
+            taken_ms=now_ms,
+            neighbours=[
+                work_pb2.Neighbour(kind=kind, cpu_percent=int(share * 100))
+                for kind, share in self.shares().items()
+            ],
+        )
--- a/packages/wisterialug-standins/src/wisterialug_standins/worker_model.py
+++ b/packages/wisterialug-standins/src/wisterialug_standins/worker_model.py
@@ -41,6 +41,7 @@
         self.log: list[Run] = []
         self.overcommitted = 0
         self.fail = False
+        self.speed = 1.0
         self.running: dict[AttemptKey, Run] = {}
         self._epoch = 0
         self._lease_until_ms = 0
@@ -75,7 +76,7 @@
         """Lets tasks progress, and ends those whose lease is over."""
         lapsed = now_ms >= self._lease_until_ms
         for run in list(self.running.values()):
-            run.progress_ms += elapsed_ms
+            run.progress_ms += elapsed_ms * self.speed
             if lapsed:
                 self._end(run, work_pb2.ATTEMPT_END_LAPSED, now_ms)
             elif self.fail:
@@ -92,6 +93,7 @@
         for ref in req.stop:
             self._stop((ref.task, ref.attempt), now_ms)
         lease_until_ms = req.renew_from_ms + req.lease_ms
+        self.speed = (req.speed_percent or 100) / 100
         if lease_until_ms > now_ms:
             self._lease_until_ms = max(self._lease_until_ms, lease_until_ms)
             for attempt in req.start:
