Colocation: slower learning, a line through latency alone, room for load

Cause: p99 was 1.27/1.25 of alone against a target of 1.2, with throttling on noise. Change: reaction on smoothed samples, easing by prediction; learning rate 0.3 to 0.1; headroom for load 0.1 to 0.2; placement fills to 0.94 of the target; latency alone by a line through the loads at which it is known.

--- a/packages/wisterialug-core/src/wisterialug_core/decisions/colocation.py
+++ b/packages/wisterialug-core/src/wisterialug_core/decisions/colocation.py
@@ -14,7 +14,7 @@
     from wisterialug_core.schema import work_pb2
 
 # Load that a service may gain before a placement's effect is seen.
-LOAD_HEADROOM = 0.1
+LOAD_HEADROOM = 0.2
 
 
 class Colocation:
--- a/packages/wisterialug-core/src/wisterialug_core/decisions/interference.py
+++ b/packages/wisterialug-core/src/wisterialug_core/decisions/interference.py
@@ -10,18 +10,21 @@
 from __future__ import annotations
 
 import collections
+import statistics
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
 # Slope of a pair of which nothing is known.
-PRIOR_SLOPE = 1.0
+PRIOR_SLOPE = 1.5
 MAX_SLOPE = 20.0
-LEARNING_RATE = 0.3
+LEARNING_RATE = 0.1
 # Samples until a pair counts as known.
 KNOWN_SAMPLES = 3
 ALONE_WEIGHT = 0.1
+# Loads that latency alone must be known at before a line is drawn.
+MIN_LOAD_SPAN = 0.15
 _EPSILON = 1e-6
 
 
@@ -81,7 +84,7 @@
             held = self._alone_us.get(bucket, latency_us)
             self._alone_us[bucket] = held + ALONE_WEIGHT * (latency_us - held)
             return 1.0
-        alone_us = self._alone(bucket)
+        alone_us = self._alone(service, load)
         if alone_us is None:
             return None
         ratio = latency_us / alone_us
@@ -109,12 +112,17 @@
             self._slopes[pair] = min(MAX_SLOPE, max(0.0, moved))
             self._samples[pair] += 1
 
-    def _alone(self, bucket: tuple[str, int]) -> float | None:
-        """Returns latency alone at a load, or at the nearest known one."""
-        service, tenth = bucket
+    def _alone(self, service: str, load: float) -> float | None:
+        """Returns latency alone at a load, by a line through what is known."""
         known = [
-            (abs(tenth - other), latency)
-            for (name, other), latency in self._alone_us.items()
+            (tenth / 10, latency)
+            for (name, tenth), latency in self._alone_us.items()
             if name == service
         ]
-        return min(known)[1] if known else None
+        if not known:
+            return None
+        loads = [at for at, _ in known]
+        if max(loads) - min(loads) < MIN_LOAD_SPAN:
+            return min(known, key=lambda point: abs(point[0] - load))[1]
+        line = statistics.linear_regression(*zip(*known, strict=True))
+        return max(1.0, line.slope * load + line.intercept)
--- a/packages/wisterialug-core/src/wisterialug_core/decisions/placement.py
+++ b/packages/wisterialug-core/src/wisterialug_core/decisions/placement.py
@@ -14,6 +14,8 @@
 
 # How much slack on a worker counts against a unit of predicted slowdown.
 SLACK_WEIGHT = 0.1
+# Part of a service's target up to which workers are filled.
+TARGET_MARGIN = 0.94
 
 
 @dataclasses.dataclass(frozen=True)
@@ -104,7 +106,7 @@
             return one.slowdown + SLACK_WEIGHT * _left_over(need, one)
 
         best = min(candidates, key=cost)
-        if best.slowdown > self._target_ratio and not pressing:
+        if best.slowdown > TARGET_MARGIN * self._target_ratio and not pressing:
             return None
         return best
 
--- a/packages/wisterialug-core/src/wisterialug_core/decisions/reaction.py
+++ b/packages/wisterialug-core/src/wisterialug_core/decisions/reaction.py
@@ -1,8 +1,8 @@
 """What to do for a service in trouble: throttle, then move, then evict.
 
 Each step waits until a sample that was taken after the last step's effect
-has come, so that no step is taken twice on the same late news, and a step
-back needs a wider margin than a step forward.
+has come, so that no step is taken twice on the same late news.  A throttle
+is eased when the ratio is predicted to stay within the target.
 """
 
 from __future__ import annotations
@@ -12,10 +12,10 @@
 
 # Time from an action until a sample can show its effect.
 EFFECT_MS = 2_000
-# A throttle is eased when the ratio is under this part of the target.
-EASE_RATIO = 0.9
+# Weight of a new sample; one noisy sample alone asks for nothing.
+SMOOTHING = 0.5
 # Samples in a row that must be good before a throttle is eased.
-GOOD_SAMPLES = 3
+GOOD_SAMPLES = 2
 THROTTLE_STEPS = (100, 50, 25)
 
 
@@ -41,6 +41,7 @@
     level: int = 0
     acted_ms: int = -EFFECT_MS
     good: int = 0
+    smoothed: float | None = None
 
     def on_sample(self, ratio: float, taken_ms: int, now_ms: int) -> Step:
         """Returns the step that a sample asks for.
@@ -52,24 +53,38 @@
         """
         if taken_ms < self.acted_ms + EFFECT_MS:
             return Step.NONE
-        if ratio > self.target_ratio:
-            self.good = 0
-            self.acted_ms = now_ms
-            if self.level + 1 < len(THROTTLE_STEPS):
-                self.level += 1
-                return Step.THROTTLE
-            return Step.MOVE
-        if ratio > EASE_RATIO * self.target_ratio or self.level == 0:
+        if self.smoothed is None:
+            self.smoothed = ratio
+        self.smoothed += SMOOTHING * (ratio - self.smoothed)
+        if self.smoothed > self.target_ratio:
+            return self._worsened(now_ms)
+        if self.level == 0 or self._eased_ratio() > self.target_ratio:
             self.good = 0
             return Step.NONE
         self.good += 1
         if self.good < GOOD_SAMPLES:
             return Step.NONE
-        self.good = 0
         self.level -= 1
-        self.acted_ms = now_ms
+        self._acted(now_ms)
         return Step.EASE
 
+    def _worsened(self, now_ms: int) -> Step:
+        self._acted(now_ms)
+        if self.level + 1 < len(THROTTLE_STEPS):
+            self.level += 1
+            return Step.THROTTLE
+        return Step.MOVE
+
+    def _acted(self, now_ms: int) -> None:
+        self.acted_ms = now_ms
+        self.smoothed = None
+        self.good = 0
+
+    def _eased_ratio(self) -> float:
+        """Predicts the ratio one step of speed higher."""
+        faster = THROTTLE_STEPS[self.level - 1] / THROTTLE_STEPS[self.level]
+        return 1.0 + (self.smoothed - 1.0) * faster
+
     @property
     def percent(self) -> int:
         """The speed that batch tasks may have."""
--- a/packages/wisterialug-standins/src/wisterialug_standins/placement_experiment.py
+++ b/packages/wisterialug-standins/src/wisterialug_standins/placement_experiment.py
@@ -129,8 +129,8 @@
 class Run:
     """One way on one user's workload."""
 
-    def __init__(self, user: User, way: Way, seconds: int) -> None:
-        rng = random.Random(f"{SEED}{user.name}")
+    def __init__(self, user: User, way: Way, seconds: int, seed: int) -> None:
+        rng = random.Random(f"{seed}{user.name}")
         self._seconds = seconds
         self._arrivals, truth = workload(user, seconds, rng)
         model = interference.InterferenceModel()
@@ -259,19 +259,19 @@
     return points[-1][0]
 
 
-def _run(user: User, way: Way, seconds: int) -> dict:
+def _run(user: User, way: Way, seconds: int, seed: int) -> dict:
     """Runs one way on one user's workload."""
-    run = Run(user, way, seconds)
+    run = Run(user, way, seconds, seed)
     run.go()
     return run.result()
 
 
-def compare(seconds: int) -> list[dict]:
+def compare(seconds: int, seed: int) -> list[dict]:
     """Runs all ways for both users on the same workloads."""
     rows = []
     with concurrent.futures.ProcessPoolExecutor(MAX_PROCESSES) as pool:
         futures = {
-            (user, way): pool.submit(_run, user, way, seconds)
+            (user, way): pool.submit(_run, user, way, seconds, seed)
             for user in USERS
             for way in WAYS
         }
@@ -299,10 +299,11 @@
     """Runs the comparison."""
     parser = argparse.ArgumentParser(prog="placement_experiment")
     parser.add_argument("--hours", type=float, default=1.0)
+    parser.add_argument("--seed", type=int, default=SEED)
     parser.add_argument("--out", default="out")
     args = parser.parse_args()
     started = time.monotonic()
-    rows = compare(int(args.hours * SECONDS_PER_HOUR))
+    rows = compare(int(args.hours * SECONDS_PER_HOUR), args.seed)
     report.write(rows, "placement", pathlib.Path(args.out), ("user", "score"))
     print(f"{time.monotonic() - started:.0f} s")
     return 0
