Members: beats in place of unchanged records; readiness waits for slots

A rolling replacement under load refused 10 of 560 requests: a new VM was ready before it had slots.

--- a/packages/wisterialug-core/src/wisterialug_core/decisions/membership.py
+++ b/packages/wisterialug-core/src/wisterialug_core/decisions/membership.py
@@ -10,14 +10,22 @@
 
 import dataclasses
 import enum
+import zlib
 from typing import TYPE_CHECKING
 
+from wisterialug_core.schema import peer_pb2
+
 if TYPE_CHECKING:
     import random
     from collections.abc import Iterable
 
     from wisterialug_core import ids
-    from wisterialug_core.schema import peer_pb2
+
+
+# Time for which what was heard of other data centres is passed on.
+REMOTE_FRESH_S = 1.0
+# Time for which a changed record is sent whole.
+SEND_CHANGES_S = 2.0
 
 
 class MemberState(enum.Enum):
@@ -37,10 +45,20 @@
     dead_s: float
 
 
+@dataclasses.dataclass(frozen=True)
+class Digest:
+    """Records and beats to send."""
+
+    members: list[peer_pb2.Member]
+    beats: list[peer_pb2.Beat]
+
+
 @dataclasses.dataclass
 class _Entry:
     record: peer_pb2.Member
     heard_at: float
+    # When anything but the sequence last changed.
+    changed_at: float = 0.0
     # Where the VM list says that the member is reached.
     listed_address: tuple[str, int] | None = None
 
@@ -53,11 +71,17 @@
     ) -> None:
         self.own = own
         self._timeouts = timeouts
-        self._entries: dict[ids.VmId, _Entry] = {own.vm: _Entry(own, now)}
+        self._entries: dict[ids.VmId, _Entry] = {own.vm: _Entry(own, now, now)}
+        self._own_content = b""
 
-    def beat(self) -> None:
+    def beat(self, now: float) -> None:
         """Raises the own sequence before the own record is sent."""
-        self.own.sequence += 1
+        sequence, self.own.sequence = self.own.sequence, 0
+        content = self.own.SerializeToString()
+        self.own.sequence = sequence + 1
+        if content != self._own_content:
+            self._own_content = content
+            self._entries[self.own.vm].changed_at = now
 
     def join(self, records: Iterable[peer_pb2.Member], now: float) -> None:
         """Joins records of other members into this table."""
@@ -67,9 +91,23 @@
                 continue
             entry = self._entries.get(record.vm)
             if entry is None:
-                self._entries[record.vm] = _Entry(record, now)
+                self._entries[record.vm] = _Entry(record, now, now)
             elif _newer(record, entry.record):
-                entry.record = record
+                entry.record.sequence = record.sequence
+                if entry.record != record:
+                    entry.record = record
+                    entry.changed_at = now
+                entry.heard_at = now
+
+    def join_beats(self, beats: Iterable[peer_pb2.Beat], now: float) -> None:
+        """Takes word of members whose records have not changed."""
+        for beat in beats:
+            entry = self._entries.get(beat.vm)
+            if entry is None or beat.vm == self.own.vm:
+                continue
+            record = entry.record
+            if beat.life == _life(record) and record.sequence < beat.sequence:
+                record.sequence = beat.sequence
                 entry.heard_at = now
 
     def set_listed(self, vms: Iterable[peer_pb2.Member], now: float) -> None:
@@ -173,23 +211,38 @@
         return rng.choice(alive or members)
 
     def digest(
-        self, receiver_centre: str, fresh_s: float, now: float
-    ) -> list[peer_pb2.Member]:
-        """Returns the records to send to a peer.
+        self, receiver_centre: str, now: float, *, whole: bool = False
+    ) -> Digest:
+        """Returns what to send to a peer.
 
         A peer of another data centre gets the own data centre; a peer of
-        the own one gets also what was heard lately of other data centres.
+        the own one gets also what was heard lately of others.  Records that
+        have not changed for a while are sent as beats.
+
+        Args:
+          receiver_centre: Data centre of the peer.
+          now: Monotonic time in seconds.
+          whole: Whether unchanged records are sent too.
         """
-        local = self.records(self.own.data_centre)
-        if receiver_centre != self.own.data_centre:
-            return local
-        remote = [
-            entry.record
-            for entry in self._entries.values()
-            if entry.record.data_centre != self.own.data_centre
-            and now - entry.heard_at <= fresh_s
-        ]
-        return local + remote
+        digest = Digest([], [])
+        for entry in self._entries.values():
+            record = entry.record
+            if record.data_centre != self.own.data_centre and (
+                receiver_centre != self.own.data_centre
+                or now - entry.heard_at > REMOTE_FRESH_S
+            ):
+                continue
+            if whole or now - entry.changed_at <= SEND_CHANGES_S:
+                digest.members.append(record)
+            elif record.sequence:
+                digest.beats.append(
+                    peer_pb2.Beat(
+                        vm=record.vm,
+                        life=_life(record),
+                        sequence=record.sequence,
+                    )
+                )
+        return digest
 
     def _outbid(self, record: peer_pb2.Member) -> None:
         """Keeps the own sequence above any that others claim to have seen."""
@@ -197,6 +250,10 @@
             self.own.sequence = max(self.own.sequence, record.sequence)
 
 
+def _life(record: peer_pb2.Member) -> int:
+    return zlib.crc32(record.incarnation.encode())
+
+
 def _newer(record: peer_pb2.Member, held: peer_pb2.Member) -> bool:
     if record.sequence == 0:
         return False
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/application.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/application.py
@@ -42,8 +42,8 @@
 GRANT_S = 3.0
 SWEEP_INTERVAL_S = 60.0
 WATCH_INTERVAL_S = 0.5
-SHARES_INTERVAL_S = 0.2
-EXPIRY_INTERVAL_S = 0.05
+SHARES_INTERVAL_S = 0.4
+EXPIRY_INTERVAL_S = 0.1
 DRAIN_POLL_S = 0.05
 
 
@@ -192,9 +192,15 @@
     # Running.
 
     def ready(self) -> bool:
-        """Tells whether the balancer should send callers here."""
+        """Tells whether the balancer should send callers here.
+
+        A new VM waits for its share of the slots, unless the table service
+        is away and it could only hand requests on.
+        """
         return (
-            self._config.ready and self._inventory.known and not self._draining
+            self._serving()
+            and not self._draining
+            and (self._presence.has_share or not self._table.healthy)
         )
 
     def _serving(self) -> bool:
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/members.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/members.py
@@ -18,9 +18,10 @@
     from wisterialug_daemon import vm_inventory
     from wisterialug_daemon.adapters import peer
 
-REMOTE_FRESH_S = 2.0
 # Rounds of local heartbeats for each exchange with another data centre.
 ROUNDS_PER_REMOTE = 2
+# Rounds of heartbeats for each one that sends unchanged records too.
+ROUNDS_PER_WHOLE = 12
 ALIVE = frozenset({membership.MemberState.ALIVE})
 PRESENT = frozenset(
     {
@@ -74,7 +75,7 @@
     def exchange_round(self) -> None:
         """Sends one heartbeat to each local peer and at times to a remote."""
         now = time.monotonic()
-        self.table.beat()
+        self.table.beat(now)
         targets = self.table.local_targets()
         self._round += 1
         if self._round % ROUNDS_PER_REMOTE == 0:
@@ -88,15 +89,17 @@
     def on_exchange(
         self, req: peer_pb2.ExchangeRequest
     ) -> peer_pb2.ExchangeResponse:
-        """Answers a peer's heartbeat; the sender is the first record."""
+        """Answers a peer's heartbeat."""
         now = time.monotonic()
         self.table.join(req.members, now)
-        sender = req.members[0] if req.members else peer_pb2.Member()
+        self.table.join_beats(req.beats, now)
         grant_s = 0.0
-        if sender.data_centre == self.table.own.data_centre:
-            grant_s = self._shares.grant(sender.incarnation, now)
+        if req.data_centre == self.table.own.data_centre:
+            grant_s = self._shares.grant(req.incarnation, now)
+        digest = self._digest(req.data_centre, now)
         return peer_pb2.ExchangeResponse(
-            members=self._digest(sender.data_centre, now),
+            members=digest.members,
+            beats=digest.beats,
             grant_ms=int(grant_s * 1000),
         )
 
@@ -146,26 +149,28 @@
 
     def _exchange(self, record: peer_pb2.Member) -> None:
         sent_at = time.monotonic()
+        digest = self._digest(record.data_centre, sent_at)
         req = peer_pb2.ExchangeRequest(
-            members=self._digest(record.data_centre, sent_at)
+            members=digest.members,
+            beats=digest.beats,
+            data_centre=self.table.own.data_centre,
+            incarnation=self.table.own.incarnation,
         )
         answer = self.call(record, "Exchange", req, self._timeouts.suspect_s)
         if answer.is_err():
             return
         resp = answer.ok_value
         self.table.join(resp.members, time.monotonic())
+        self.table.join_beats(resp.beats, time.monotonic())
         known = self.table.record(record.vm)
         if resp.grant_ms and known is not None:
             self._shares.granted(
                 known.incarnation, resp.grant_ms / 1000, sent_at
             )
 
-    def _digest(
-        self, receiver_centre: str, now: float
-    ) -> list[peer_pb2.Member]:
-        own = self.table.own
-        rest = self.table.digest(receiver_centre, REMOTE_FRESH_S, now)
-        return [own] + [record for record in rest if record.vm != own.vm]
+    def _digest(self, receiver_centre: str, now: float) -> membership.Digest:
+        whole = self._round % ROUNDS_PER_WHOLE == 0
+        return self.table.digest(receiver_centre, now, whole=whole)
 
     def _report(self, now: float) -> None:
         """Counts members by state and logs changes."""
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/presence.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/presence.py
@@ -42,6 +42,8 @@
         self.shard_rows: dict[str, tuple[int, work_pb2.ShardOwner]] = {}
         self.in_flight: Callable[[], Mapping[str, int]] = dict
         self.slots_per_instance = 1
+        # Whether the peers have once agreed to this VM's share of slots.
+        self.has_share = False
         self._own_vm = own_vm
         self._session_id = session
         self._lease_s = lease_s
@@ -116,7 +118,8 @@
             self.in_flight(), self.slots_per_instance, now
         )
         self._members.table.own.roster_epoch = epoch
-        self._shares.peers_acknowledged(self._members.roster_epochs())
+        agreed = self._shares.peers_acknowledged(self._members.roster_epochs())
+        self.has_share = self.has_share or (agreed and self._shares.is_member())
         metrics.ROSTER_EPOCH.set(self._shares.roster.epoch)
         usable = self.slots_usable()
         metrics.SLOTS_USABLE.set(int(usable))
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/tasks.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/tasks.py
@@ -17,7 +17,7 @@
     from collections.abc import Callable
 
 JITTER_RATIO = 0.1
-LAG_PROBE_INTERVAL_S = 0.1
+LAG_PROBE_INTERVAL_S = 0.25
 
 
 def every(
