Jobs tell early that a deadline will be missed; one runner for all machines

Cause: a job that will miss its deadline was not reported early; five test modules had the same ten lines to run a state machine. Change: job show forecasts the end from the tasks' states; tests/machine.py.

--- a/packages/wisterialug-daemon/src/wisterialug_daemon/jobs.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/jobs.py
@@ -11,13 +11,15 @@
 
 from wisterialug_core import errors as core_errors
 from wisterialug_core import settings
-from wisterialug_core.decisions import spread
+from wisterialug_core.decisions import forecast, spread
 from wisterialug_core.schema import peer_pb2, work_pb2
 from wisterialug_daemon import errors, shard_runner
 from wisterialug_daemon import members as members_lib
 from wisterialug_daemon.adapters import table as table_lib
 
 if TYPE_CHECKING:
+    from collections.abc import Mapping
+
     from wisterialug_daemon import config_sync, shards
 
 MAX_TASKS = 100_000
@@ -119,6 +121,7 @@
             "evictions": evictions,
             "reasons": sorted(reasons),
             "deadline_unix_ms": job.deadline_unix_ms,
+            **_forecast(job, counts),
         }
 
     def list(self) -> list[dict[str, object]]:
@@ -293,6 +296,27 @@
     return name.removeprefix("TASK_STATE_").lower()
 
 
+def _forecast(
+    job: work_pb2.Job, counts: Mapping[str, int]
+) -> dict[str, object]:
+    """Returns when a job is expected to end, and if that is in time."""
+    now_ms = int(time.time() * 1000)
+    waiting = counts.get("pending", 0)
+    running = sum(
+        counts.get(state, 0) for state in ("starting", "running", "stopping")
+    )
+    expected_ms = forecast.expected_end_unix_ms(
+        waiting, running, job.run_ms, now_ms
+    )
+    state = forecast.deadline_state(
+        job.deadline_unix_ms,
+        expected_ms,
+        now_ms,
+        ended=not waiting and not running,
+    )
+    return {"expected_end_unix_ms": expected_ms, "deadline": state.value}
+
+
 def _job_rows(
     job: work_pb2.Job, chunks: list[tuple[str, int]]
 ) -> table_lib.Transaction:
--- /dev/null
+++ b/tests/machine.py
@@ -0,0 +1,19 @@
+"""Runs Hypothesis state machines with fixed seeds."""
+
+from hypothesis import Phase, seed, settings
+
+
+def run(machine_type, number, examples, steps):
+    """Runs a machine; the same seed gives the same steps.
+
+    Failures are not shrunk, since that takes longer than CI may.
+    """
+    case = seed(number)(machine_type).TestCase
+    case.settings = settings(
+        max_examples=examples,
+        stateful_step_count=steps,
+        deadline=None,
+        phases=(Phase.explicit, Phase.generate),
+        database=None,
+    )
+    case("runTest").runTest()
--- a/tests/test_core/test_config_machine.py
+++ b/tests/test_core/test_config_machine.py
@@ -1,10 +1,10 @@
 """Stateful fuzzing of the replicated config against a list of states."""
 
 import testtools
-from hypothesis import Phase, seed, settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
+from tests import machine
 from wisterialug_core.decisions import config_state
 from wisterialug_core.schema import config_pb2
 
@@ -84,12 +84,4 @@
 
 class ConfigMachineTest(testtools.TestCase):
     def test_config_never_reverts(self):
-        machine = seed(SEED)(ConfigMachine).TestCase
-        machine.settings = settings(
-            max_examples=EXAMPLES,
-            stateful_step_count=STEPS,
-            deadline=None,
-            phases=(Phase.explicit, Phase.generate),
-            database=None,
-        )
-        machine("runTest").runTest()
+        machine.run(ConfigMachine, SEED, EXAMPLES, STEPS)
--- a/tests/test_core/test_membership_machine.py
+++ b/tests/test_core/test_membership_machine.py
@@ -3,10 +3,10 @@
 import random
 
 import testtools
-from hypothesis import Phase, seed, settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
+from tests import machine
 from wisterialug_core.decisions import membership
 from wisterialug_core.schema import peer_pb2
 
@@ -128,15 +128,7 @@
 
 class MembershipMachineTest(testtools.TestCase):
     def test_views_become_true_again(self):
-        machine = seed(SEED)(MembershipMachine).TestCase
-        machine.settings = settings(
-            max_examples=EXAMPLES,
-            stateful_step_count=STEPS,
-            deadline=None,
-            phases=(Phase.explicit, Phase.generate),
-            database=None,
-        )
-        machine("runTest").runTest()
+        machine.run(MembershipMachine, SEED, EXAMPLES, STEPS)
 
 
 class DigestTest(testtools.TestCase):
--- a/tests/test_core/test_routing_machine.py
+++ b/tests/test_core/test_routing_machine.py
@@ -3,10 +3,10 @@
 import random
 
 import testtools
-from hypothesis import Phase, seed, settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
+from tests import machine
 from wisterialug_core.decisions import admission, routing
 
 SEED = 21
@@ -145,15 +145,7 @@
 
 class RoutingMachineTest(testtools.TestCase):
     def run_machine(self, machine_type):
-        machine = seed(SEED)(machine_type).TestCase
-        machine.settings = settings(
-            max_examples=EXAMPLES,
-            stateful_step_count=STEPS,
-            deadline=None,
-            phases=(Phase.explicit, Phase.generate),
-            database=None,
-        )
-        machine("runTest").runTest()
+        machine.run(machine_type, SEED, EXAMPLES, STEPS)
 
     def test_pool(self):
         self.run_machine(RoutingMachine)
--- a/tests/test_core/test_shard_machine.py
+++ b/tests/test_core/test_shard_machine.py
@@ -10,7 +10,6 @@
 import itertools
 
 import testtools
-from hypothesis import Phase, seed, settings
 from hypothesis import strategies as st
 from hypothesis.stateful import (
     RuleBasedStateMachine,
@@ -19,6 +18,7 @@
     rule,
 )
 
+from tests import machine
 from wisterialug_core.decisions import (
     placement,
     resources,
@@ -474,15 +474,7 @@
 
 class ShardMachineTest(testtools.TestCase):
     def run_machine(self, number):
-        machine = seed(number)(ShardMachine).TestCase
-        machine.settings = settings(
-            max_examples=EXAMPLES,
-            stateful_step_count=STEPS,
-            deadline=None,
-            phases=(Phase.explicit, Phase.generate),
-            database=None,
-        )
-        machine("runTest").runTest()
+        machine.run(ShardMachine, number, EXAMPLES, STEPS)
 
     def test_promises_hold_with_first_seed(self):
         self.run_machine(SEEDS[0])
--- a/tests/test_daemon/test_presence_machine.py
+++ b/tests/test_daemon/test_presence_machine.py
@@ -9,7 +9,6 @@
 
 import result
 import testtools
-from hypothesis import Phase, seed, settings
 from hypothesis import strategies as st
 from hypothesis.stateful import (
     RuleBasedStateMachine,
@@ -18,6 +17,7 @@
     rule,
 )
 
+from tests import machine
 from wisterialug_core.decisions import roster
 from wisterialug_daemon import errors, events, presence
 from wisterialug_daemon.adapters import table as table_lib
@@ -297,30 +297,22 @@
 
 class PresenceMachineTest(testtools.TestCase):
     def test_instances_are_never_overfilled(self):
-        machine = seed(SEED)(PresenceMachine).TestCase
-        machine.settings = settings(
-            max_examples=EXAMPLES,
-            stateful_step_count=STEPS,
-            deadline=None,
-            phases=(Phase.explicit, Phase.generate),
-            database=None,
-        )
-        machine("runTest").runTest()
+        machine.run(PresenceMachine, SEED, EXAMPLES, STEPS)
 
     def test_all_slots_are_used_again_after_a_member_died(self):
-        machine = PresenceMachine()
-        self.addCleanup(machine.teardown)
-        machine.begin()
+        fleet = PresenceMachine()
+        self.addCleanup(fleet.teardown)
+        fleet.begin()
         for _ in range(4):
-            machine.calm_round()
-        self.assertEqual([8, 8], self._limits(machine))
-        machine.kill("vm-1")
+            fleet.calm_round()
+        self.assertEqual([8, 8], self._limits(fleet))
+        fleet.kill("vm-1")
         for _ in range(15):
-            machine.calm_round()
-        self.assertEqual([8, 8], self._limits(machine))
+            fleet.calm_round()
+        self.assertEqual([8, 8], self._limits(fleet))
 
-    def _limits(self, machine):
-        lives = [one for one in machine.lives.values() if not one.dead]
+    def _limits(self, fleet):
+        lives = [one for one in fleet.lives.values() if not one.dead]
         return [
             sum(life.shares.limit(instance, SLOTS) for life in lives)
             for instance in INSTANCES
