Stand-ins: an object store for checkpoints; old revision rows are deleted

Cause: workers' checkpoints had no object store behind them, and rows of old config revisions were never deleted. Change: worker stand-ins put checkpoints to an object store and check what they resume from; a change deletes the revision 10,000 before it.

--- a/packages/wisterialug-daemon/src/wisterialug_daemon/adapters/peer.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/adapters/peer.py
@@ -19,7 +19,7 @@
 
     from google.protobuf import message
 
-Handler = "Callable[[message.Message], message.Message]"
+    Handler = Callable[[message.Message], message.Message]
 
 
 class PeerClient:
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/config_sync.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/config_sync.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import time
+from typing import TYPE_CHECKING
 
 import eventlet
 import result
@@ -13,6 +14,11 @@
 from wisterialug_daemon import members as members_lib
 from wisterialug_daemon.adapters import table as table_lib
 
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    Build = Callable[[config_state.ConfigState], list[config_pb2.ConfigRow]]
+
 HEAD_KEY = "config/head"
 ROW_PREFIX = "config/row/"
 REVISION_PREFIX = "config/revision/"
@@ -20,12 +26,12 @@
 FETCH_TIMEOUT_S = 1.0
 SETTLE_S = 4.0
 MAX_RACES = 8
+# Rows of revisions that are kept, so that late retries settle.
+KEEP_REVISIONS = 10_000
 # Wait between looks at the members' revisions while an operator waits.
 IN_FORCE_POLL_S = 0.05
 REMOTE_ASK_INTERVAL_S = 0.5
 
-Build = "Callable[[config_state.ConfigState], list[config_pb2.ConfigRow]]"
-
 
 class ConfigSync:
     """Holds the config in force on this VM and keeps it new."""
@@ -274,7 +280,7 @@
 def _transaction(
     delta: config_pb2.ConfigDelta, head_version: int
 ) -> table_lib.Transaction:
-    revision_key = f"{REVISION_PREFIX}{delta.revision:012d}"
+    revision_key = _revision_key(delta.revision)
     puts = [
         (revision_key, b""),
         (
@@ -291,9 +297,14 @@
             table_lib.Condition(revision_key, 0),
         ),
         puts=tuple(puts),
+        deletes=(_revision_key(max(0, delta.revision - KEEP_REVISIONS)),),
     )
 
 
+def _revision_key(revision: int) -> str:
+    return f"{REVISION_PREFIX}{revision:012d}"
+
+
 def _head_revision(row: table_lib.Row) -> int:
     if row.value is None:
         return 0
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/http/operators.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/http/operators.py
@@ -15,15 +15,15 @@
 from wisterialug_daemon.http import server
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Callable, Iterable
 
     from wisterialug_daemon import jobs, operations
 
+    Handler = Callable[..., object]
+
 MAX_BODY_BYTES = 8 * 1024 * 1024
 NAME = r"([A-Za-z0-9_.-]+)"
 
-Handler = "Callable[..., object]"
-
 
 class OperatorsApplication:
     """The WSGI application on the operators' port."""
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/http/server.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/http/server.py
@@ -13,11 +13,12 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
 
+    StartResponse = Callable[[str, list[tuple[str, str]]], object]
+
 BACKLOG = 512
 MAX_CONNECTIONS = 4096
 KEEPALIVE_S = 75.0
 
-StartResponse = "Callable[[str, list[tuple[str, str]]], object]"
 
 _REASONS = {
     200: "OK",
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/once_store.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/once_store.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import time
+from typing import TYPE_CHECKING
 
 import eventlet
 
@@ -11,13 +12,16 @@
 from wisterialug_daemon import answers, errors, logs
 from wisterialug_daemon.adapters import table as table_lib
 
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    Run = Callable[[answers.CallerRequest], answers.CallerAnswer]
+
 RECORD_SETTLE_S = 30.0
 SWEEP_PAGE_ROWS = 100
 # Share of the request's time that the record before it may take.
 RESERVE_TIME_RATIO = 0.5
 
-Run = "Callable[[answers.CallerRequest], answers.CallerAnswer]"
-
 
 class OnceStore:
     """Keeps a record of each key in the table service."""
--- a/packages/wisterialug-standins/src/wisterialug_standins/fleet.py
+++ b/packages/wisterialug-standins/src/wisterialug_standins/fleet.py
@@ -28,6 +28,7 @@
 TABLE_PORT = 8090
 VM_LIST_PORT = 8091
 CONTROL_PORT = 8092
+OBJECT_PORT = 8093
 LOCK_PORT = 8099
 UPSTREAM_PORT = 8100
 TOKEN = "operators-token"
@@ -144,6 +145,7 @@
         self._host_specs = [
             {"kind": "table", "ip": platform, "port": TABLE_PORT},
             {"kind": "vm-list", "ip": platform, "port": VM_LIST_PORT},
+            {"kind": "object-store", "ip": platform, "port": OBJECT_PORT},
             {"kind": "proxy-control", "ip": platform, "port": CONTROL_PORT},
         ]
         for dc in range(1, shape.data_centres + 1):
@@ -194,6 +196,7 @@
                 "ip": ip,
                 "port": UPSTREAM_PORT,
                 "capacity": self.shape.worker_capacity,
+                "objects": f"http://{self.ip(0, 1)}:{OBJECT_PORT}",
             }
         )
         cpu, memory, accelerators = self.shape.worker_capacity
--- a/packages/wisterialug-standins/src/wisterialug_standins/host.py
+++ b/packages/wisterialug-standins/src/wisterialug_standins/host.py
@@ -11,7 +11,14 @@
 import eventlet.wsgi
 
 from wisterialug_core.decisions import resources
-from wisterialug_standins import instance, proxy, table, vm_list, worker
+from wisterialug_standins import (
+    instance,
+    object_store,
+    proxy,
+    table,
+    vm_list,
+    worker,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -51,7 +58,11 @@
     if kind == "proxy-control":
         return control
     if kind == "worker":
-        return worker.WorkerStandIn(resources.Amount(*entry["capacity"]))
+        return worker.WorkerStandIn(
+            resources.Amount(*entry["capacity"]), entry["objects"]
+        )
+    if kind == "object-store":
+        return object_store.ObjectStoreStandIn()
     if kind == "instance":
         return instance.InstanceStandIn(
             entry["name"], entry["mean_s"], entry["slots"]
--- a/packages/wisterialug-standins/src/wisterialug_standins/worker.py
+++ b/packages/wisterialug-standins/src/wisterialug_standins/worker.py
@@ -8,6 +8,7 @@
 from typing import TYPE_CHECKING
 
 import eventlet
+import urllib3
 from google.protobuf import json_format
 
 from wisterialug_core.schema import work_pb2
@@ -19,14 +20,21 @@
     from wisterialug_core.decisions import resources
 
 TICK_S = 0.05
+# The worker before may still be writing the checkpoint.
+CHECKPOINT_READS = 40
+_STOPPED = ("ATTEMPT_END_EVICTED", "ATTEMPT_END_LAPSED")
 
 
 class WorkerStandIn:
     """Serves a worker model over HTTP in real time."""
 
-    def __init__(self, capacity: resources.Amount) -> None:
+    def __init__(self, capacity: resources.Amount, object_url: str) -> None:
         self._model = worker_model.WorkerModel(secrets.token_hex(4), capacity)
         self._speed = 1.0
+        self._objects = urllib3.PoolManager(num_pools=1, retries=False)
+        self._object_url = object_url
+        self._saved: set[worker_model.AttemptKey] = set()
+        self._lost_checkpoints = 0
         eventlet.spawn(self._tick_loop)
 
     def __call__(
@@ -38,7 +46,12 @@
         body = environ["wsgi.input"].read(length)
         if path == "/v1/sync":
             req = json_format.Parse(body, work_pb2.WorkerSyncRequest())
+            known = len(self._model.log)
             resp = self._model.sync(req, _clock_ms())
+            self._save_checkpoints()
+            for run in self._model.log[known:]:
+                if run.resumed_ms:
+                    eventlet.spawn(self._read_checkpoint, run)
             data = json_format.MessageToJson(resp, indent=None).encode()
         elif path == "/v1/behaviour":
             behaviour = json.loads(body)
@@ -57,11 +70,36 @@
             now = time.monotonic()
             elapsed_ms = (now - last) * 1000 * self._speed
             self._model.advance(elapsed_ms, _clock_ms())
+            self._save_checkpoints()
             last = now
 
+    def _save_checkpoints(self) -> None:
+        """Puts the checkpoint of each attempt that stopped early."""
+        for run in list(self._model.log):
+            key = (run.task, run.attempt)
+            if run.end not in _STOPPED or key in self._saved:
+                continue
+            self._saved.add(key)
+            self._objects.request(
+                "PUT",
+                f"{self._object_url}/checkpoints/{run.task}",
+                body=str(run.checkpoint_ms).encode(),
+            )
+
+    def _read_checkpoint(self, run: worker_model.Run) -> None:
+        """Gets the checkpoint that an attempt was told to resume from."""
+        url = f"{self._object_url}/checkpoints/{run.task}"
+        for _ in range(CHECKPOINT_READS):
+            stored = self._objects.request("GET", url).data
+            if int(stored or 0) >= run.resumed_ms:
+                return
+            eventlet.sleep(TICK_S)
+        self._lost_checkpoints += 1
+
     def _report(self) -> dict:
         return {
             "overcommitted": self._model.overcommitted,
+            "lost_checkpoints": self._lost_checkpoints,
             "incarnation": self._model.incarnation,
             "runs": [
                 {
--- a/tests/test_integration/base.py
+++ b/tests/test_integration/base.py
@@ -217,6 +217,7 @@
         for worker in self.fleet.of_role("VM_ROLE_WORKER"):
             log = self.fleet.worker_log(worker)
             self.assertEqual(0, log["overcommitted"])
+            self.assertEqual(0, log["lost_checkpoints"])
             for run in log["runs"]:
                 runs.setdefault(run["task"], []).append({**run, "on": worker})
         return runs
