Sessions: a VM that was silent for too long begins a new session

Cause: test_killed_and_paused_entry_vms failed at its count of answers: a VM whose session another VM had ended while it was paused never renewed again, so it had no slots and no shards until it was restarted. Ruled out: a lost or false answer; the check of answers against the instances' logs passed. Change: once it holds no shard of the old session, it begins a new one.

--- a/packages/wisterialug-core/src/wisterialug_core/decisions/roster.py
+++ b/packages/wisterialug-core/src/wisterialug_core/decisions/roster.py
@@ -75,9 +75,13 @@
     def __init__(
         self, session: ids.SessionId, grant_s: float, quarantine_s: float
     ) -> None:
-        self._session = session
         self._grant_s = grant_s
         self._quarantine_s = quarantine_s
+        self.begin(session)
+
+    def begin(self, session: ids.SessionId) -> None:
+        """Starts over as a new session, which has no slots yet."""
+        self._session = session
         self._roster = work_pb2.Roster()
         # Rosters whose shares still bound this VM's own.
         self._binding: list[work_pb2.Roster] = [work_pb2.Roster()]
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/application.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/application.py
@@ -168,6 +168,7 @@
             self._config,
             self._presence,
         )
+        self._presence.holds_shards = lambda: bool(self._shards.runners)
         self._jobs = jobs.Jobs(
             self._table, self._config, self._members, self._shards
         )
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/presence.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/presence.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import hashlib
+import secrets
 import time
 from typing import TYPE_CHECKING
 
@@ -41,6 +42,7 @@
         self.session = sessions.OwnSession(lease_s)
         self.shard_rows: dict[str, tuple[int, work_pb2.ShardOwner]] = {}
         self.in_flight: Callable[[], Mapping[str, int]] = dict
+        self.holds_shards: Callable[[], bool] = bool
         self.slots_per_instance = 1
         # Whether the peers have once agreed to this VM's share of slots.
         self.has_share = False
@@ -65,9 +67,17 @@
     # Own session.
 
     def renew(self) -> None:
-        """Renews the session; makes it on the first call."""
-        if self.session.ended or self._leaving:
+        """Renews the session; makes it on the first call.
+
+        A VM whose session was ended, since it was silent for too long, goes
+        on with a new one once it holds nothing of the old one.
+        """
+        if self._leaving:
             return
+        if self.session.ended:
+            if self.holds_shards():
+                return
+            self._begin_session()
         sent_at = time.monotonic()
         self._renewals += 1
         outcome = self._put_session(ended=False, settle_s=self._lease_s / 2)
@@ -80,6 +90,19 @@
                 "session-ended-by-another-vm", session=self._session_id
             )
 
+    def _begin_session(self) -> None:
+        self._session_id = secrets.token_hex(8)
+        self.session = sessions.OwnSession(self._lease_s)
+        self._own_version = 0
+        self._renewals = 0
+        self.has_share = False
+        self._shares.begin(self._session_id)
+        own = self._members.table.own
+        own.incarnation = self._session_id
+        own.started_unix_ms = int(time.time() * 1000)
+        own.roster_epoch = 0
+        logs.event("session-begun", session=self._session_id)
+
     def _put_session(self, *, ended: bool, settle_s: float):  # noqa: ANN202
         key = self._session_key(self._session_id)
         row = work_pb2.Session(
