Traces: the upstream's span stays in the caller's trace

Cause: since requests are sent by a greenlet of their own, the span of that hop had no parent, and with an exporter set the instance got another trace's id. The test ran without an exporter, where the caller's header passes through. Change: the context goes along to the greenlet; the edge tests run with an exporter, full sampling and JSON logs, and look for both spans.

--- a/packages/wisterialug-daemon/src/wisterialug_daemon/router.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/router.py
@@ -14,6 +14,8 @@
 from wisterialug_daemon import answers, errors, forwarding, metrics, tracing
 
 if TYPE_CHECKING:
+    from opentelemetry import context as otel_context
+
     from wisterialug_daemon import (
         config_sync,
         once_store,
@@ -207,14 +209,17 @@
         The slot stays taken until the instance has answered, however late,
         since the instance is busy until then.
         """
-        exchange = eventlet.spawn(self._exchange, req, slot)
+        exchange = eventlet.spawn(self._exchange, req, slot, tracing.current())
         with contextlib.suppress(eventlet.Timeout):
             with eventlet.Timeout(max(0.001, req.deadline - time.monotonic())):
                 return exchange.wait()
         return _upstream_problem(errors.UpstreamUnansweredError("timeout"))
 
     def _exchange(
-        self, req: answers.CallerRequest, slot: routing.Slot
+        self,
+        req: answers.CallerRequest,
+        slot: routing.Slot,
+        context: otel_context.Context,
     ) -> answers.CallerAnswer:
         """Sends a request to the instance of a slot and frees the slot."""
         instance = slot.instance
@@ -222,7 +227,7 @@
         ended = routing.Result.FAILED
         metrics.IN_FLIGHT.inc()
         try:
-            with tracing.span("upstream"):
+            with tracing.span("upstream", context=context):
                 answer = self._upstream.send(
                     (instance.ip, instance.port),
                     req.method,
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/tracing.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/tracing.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from opentelemetry import context as otel_context
 from opentelemetry import propagate, trace
 from opentelemetry.sdk import resources
 from opentelemetry.sdk import trace as sdk_trace
@@ -37,11 +38,25 @@
     _tracer = provider.get_tracer("wisterialug")
 
 
+def current() -> otel_context.Context:
+    """Returns the context to hand to another greenlet."""
+    return otel_context.get_current()
+
+
 def span(
-    name: str, headers: Mapping[str, str] | None = None
+    name: str,
+    headers: Mapping[str, str] | None = None,
+    context: otel_context.Context | None = None,
 ) -> contextlib.AbstractContextManager[trace.Span]:
-    """Opens a span; its parent is in the headers, if given."""
-    context = None if headers is None else propagate.extract(headers)
+    """Opens a span below the current one.
+
+    Args:
+      name: Name of the span.
+      headers: Headers that name the parent instead, if given.
+      context: Context of another greenlet that has the parent, if given.
+    """
+    if headers is not None:
+        context = propagate.extract(headers)
     return _tracer.start_as_current_span(name, context=context)
 
 
--- a/tests/test_integration/test_edges.py
+++ b/tests/test_integration/test_edges.py
@@ -12,7 +12,17 @@
 
 
 class EdgeTest(base.IntegrationTest):
-    shape = fleet.Shape(data_centres=1, entry_vms=1, workers=1, instances=1)
+    shape = fleet.Shape(
+        data_centres=1,
+        entry_vms=1,
+        workers=1,
+        instances=1,
+        settings=(
+            "--log-format=json",
+            "--trace-exporter=console",
+            "--trace-sample-ratio=1",
+        ),
+    )
 
     def call(self, method="GET", path="/services/dispatch/x", **headers):
         body = headers.pop("body", None)
@@ -88,6 +98,13 @@
         trace = "4bf92f3577b34da6a3ce929d0e0e4736"
         resp = self.call(traceparent=f"00-{trace}-00f067aa0ba902b7-01")
         self.assertIn(trace, json.loads(resp.data)["traceparent"])
+        spans = [
+            line
+            for line in self.fleet.log_text("vm-1-1").splitlines()
+            if trace in line
+        ]
+        for name in ("entry", "upstream"):
+            self.assertTrue(any(f'"{name}"' in line for line in spans), name)
 
     def test_operators_are_told_what_is_wrong(self):
         key = "limit/siam/customer/siam"
