Capacity: bytes to the platform are measured

Cause: the column for bytes to the platform read zero, since the counter it came from does not count sockets here; two times were stated unmeasured.

--- a/packages/wisterialug-standins/src/wisterialug_standins/capacity.py
+++ b/packages/wisterialug-standins/src/wisterialug_standins/capacity.py
@@ -331,7 +331,7 @@
                 "rss_mib": max(one["rss_kib"] for one in after["vms"]) / KIB,
                 "cpu_percent": _rate(before, after, "cpu_s") * 100 / count,
                 "peer_bytes_s": _rate(before, after, "peer_bytes") / count,
-                "network_bytes_s": _rate(before, after, "io_bytes") / count,
+                "table_bytes_s": _stat(before, after, "bytes") / count,
                 "table_reads_s": _stat(before, after, "reads"),
                 "table_writes_s": _stat(before, after, "writes"),
                 "loop_lag_max_ms": max(
@@ -364,9 +364,6 @@
         "rss_kib": _proc_value(proc + "status", "VmRSS:"),
         "cpu_s": fleet.cpu_s(daemon.process.pid),
         "peer_bytes": values["wisterialug_peer_bytes_total"],
-        # Sockets and, seldom, the log.
-        "io_bytes": _proc_value(proc + "io", "rchar:")
-        + _proc_value(proc + "io", "wchar:"),
         "loop_lag_max_s": values["wisterialug_loop_lag_max_seconds"],
     }
 
--- a/packages/wisterialug-standins/src/wisterialug_standins/table.py
+++ b/packages/wisterialug-standins/src/wisterialug_standins/table.py
@@ -23,7 +23,7 @@
         self._keys: list[str] = []
         self._version = 0
         self._faults = {"down": False, "delay_s": 0.0, "lose_answers": 0}
-        self._stats = {"reads": 0, "writes": 0, "rows_written": 0}
+        self._stats = {"reads": 0, "writes": 0, "rows_written": 0, "bytes": 0}
         self._handlers: dict[str, Callable[[dict], dict | None]] = {
             "/v1/read": self._read,
             "/v1/scan": self._scan,
@@ -51,6 +51,7 @@
         if self._faults["down"]:
             return _reply(start_response, "500 Down", {})
         answer = self._handlers[path](body)
+        self._stats["bytes"] += length + len(json.dumps(answer))
         if path == "/v1/commit" and self._faults["lose_answers"] > 0:
             self._faults["lose_answers"] -= 1
             return _reply(start_response, "500 Answer Lost", {})
