Placement rates each worker once for a step

Cause: with a backlog of fill work, each round rated all workers for each waiting job, though tasks that ask for as much had just found no room.

Change: workers of a step are kept in a heap and only the chosen one is rated again; what found no room rules out all that asks for as much, by kind of task; amounts are compared without making new ones.

--- a/packages/wisterialug-core/src/wisterialug_core/workflow/model.py
+++ b/packages/wisterialug-core/src/wisterialug_core/workflow/model.py
@@ -86,6 +86,11 @@
     labels: tuple[str, ...]
     remaining_ms: int
 
+    @property
+    def rack(self) -> str:
+        """Returns the label of the worker's rack, which comes last."""
+        return self.labels[-1] if self.labels else ""
+
 
 @dataclasses.dataclass(slots=True)
 class Task:
@@ -97,6 +102,9 @@
     done: bool = False
     failures: int = 0
     checkpoint: str = ""
+    # Shard that runs it, where that is another one, and how often it was lent.
+    lent_to: str = ""
+    loans: int = 0
     # Of the active run only.
     phase: Phase = Phase.STARTING
     since_s: float = 0.0
@@ -117,6 +125,11 @@
         """Tells whether a run of the task may be under way."""
         return bool(self.worker)
 
+    @property
+    def waits(self) -> bool:
+        """Tells whether this shard is to start a run of the task."""
+        return not (self.worker or self.done or self.lent_to)
+
 
 def parse_task_name(name: str) -> TaskKey | None:
     """Returns the key behind a task's name, or None if it is malformed."""
--- a/packages/wisterialug-core/src/wisterialug_core/workflow/neighbours.py
+++ b/packages/wisterialug-core/src/wisterialug_core/workflow/neighbours.py
@@ -256,15 +256,11 @@
             if not factor:
                 continue
             load = figures.mean_loads.get(serving, USUAL_LOAD)
-            raised = load * (
-                1
-                + sum(
-                    self._planned_factor(serving, other) * other_share
-                    for other, other_share in shares.items()
-                )
-            )
+            raised = load * self._planned_raise(serving, shares)
             room = PLACE_LIMIT * target - raised
             part = min(part, room / (load * factor * share + EPSILON))
+            if part <= 0:
+                return 0.0
         return max(0.0, part)
 
     def react(
@@ -371,6 +367,14 @@
         factor = self.factor(image, fill_image)
         return factor if factor >= HARMLESS_FACTOR else 0.0
 
+    def _planned_raise(self, image: str, shares: Mapping[str, float]) -> float:
+        """Returns the same as _raise, without kinds that hardly disturb."""
+        return 1 + sum(
+            self._planned_factor(image, fill) * share
+            for fill, share in shares.items()
+            if share
+        )
+
     def _raise(self, image: str, shares: Mapping[str, float]) -> float:
         """Returns by what factor fill work raises a utilisation."""
         return 1 + sum(
--- a/packages/wisterialug-core/src/wisterialug_core/workflow/placement.py
+++ b/packages/wisterialug-core/src/wisterialug_core/workflow/placement.py
@@ -8,14 +8,15 @@
 from __future__ import annotations
 
 import dataclasses
+import heapq
 from typing import TYPE_CHECKING
 
+from wisterialug_core.decisions import resources
 from wisterialug_core.workflow import book, model, neighbours, urgency
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-    from wisterialug_core.decisions import resources
     from wisterialug_core.schema import workflow_pb2
     from wisterialug_core.workflow import roster
 
@@ -77,7 +78,7 @@
             waiting = [
                 t
                 for t in entry.group(group)
-                if not t.active and not t.done and t.not_before_s <= now_s
+                if t.waits and t.not_before_s <= now_s
             ]
             if waiting:
                 queue.append(
@@ -109,21 +110,19 @@
         self._spare = workers.reserved_share() < SPARE_SHARE
         # Workers on which a lasting task gets what falls free.
         self._kept: set[str] = set()
-        # Shapes of tasks that fit nowhere any more.
-        self._exhausted: set[tuple] = set()
+        # What tasks that fit nowhere any more ask for, by kind of task.
+        self._exhausted: dict[tuple, list[resources.Amount]] = {}
+        # No worker has more than this of each resource.
+        self._most_free = resources.ZERO
+        for worker in usable:
+            self._most_free = self._most_free.at_least(worker.free())
 
     def place(self, group: model.GroupKey, waiting: list[model.Task]) -> None:
         """Places as many waiting tasks of a group as there is room for."""
         entry = self._jobs.jobs[group.job]
         step = entry.job.steps[group.step]
-        shape = (
-            entry.job.policy.service,
-            book.amount(step),
-            step.required_label,
-            step.fills,
-        )
         starved = self._is_starved(entry, step)
-        if shape in self._exhausted and not starved:
+        if not starved and self._is_exhausted(entry, step):
             return
         candidates = _candidates(entry, step, self._usable)
         if not step.long_running:
@@ -140,30 +139,65 @@
                 self._effects,
             )
             return
+        queue = _Candidates(step, group, candidates, self._effects)
         for task in waiting:
-            worker = _choose(step, group, candidates, self._effects)
-            if worker is None and starved:
-                # It is slowed as far as its neighbours need.
-                worker = _choose(
-                    step, group, candidates, self._effects, any_strain=True
-                )
-                starved = False
+            worker = queue.best()
             if worker is None:
                 if step.long_running:
                     _keep_room(step, group, candidates, self._kept)
                 elif not step.max_per_worker:
-                    self._exhausted.add(shape)
+                    self._note_exhausted(entry, step)
+                if starved:
+                    self._place_strained(task, step, group, candidates)
                 return
-            self.placements.append(
-                _reserve(
-                    task,
-                    worker,
-                    task.run + 1,
-                    self._jobs,
-                    self._workers,
-                    self._now_s,
-                )
+            starved = False
+            self._reserve(task, worker)
+            queue.update(worker)
+
+    def _place_strained(
+        self,
+        task: model.Task,
+        step: workflow_pb2.Step,
+        group: model.GroupKey,
+        candidates: list[roster.Worker],
+    ) -> None:
+        """Places a run that is slowed as far as its neighbours need."""
+        worker = _Candidates(
+            step, group, candidates, self._effects, any_strain=True
+        ).best()
+        if worker is not None:
+            self._reserve(task, worker)
+
+    def _reserve(self, task: model.Task, worker: roster.Worker) -> None:
+        self.placements.append(
+            _reserve(
+                task,
+                worker,
+                task.run + 1,
+                self._jobs,
+                self._workers,
+                self._now_s,
             )
+        )
+
+    def _is_exhausted(
+        self, entry: book.JobEntry, step: workflow_pb2.Step
+    ) -> bool:
+        """Tells whether a task that asks for no more has found no room."""
+        if step.long_running:
+            return False
+        if not book.amount(step).fits(self._most_free):
+            return True
+        return any(
+            need.fits(_full_amount(step))
+            for need in self._exhausted.get(_kind(entry, step), ())
+        )
+
+    def _note_exhausted(
+        self, entry: book.JobEntry, step: workflow_pb2.Step
+    ) -> None:
+        needs = self._exhausted.setdefault(_kind(entry, step), [])
+        needs.append(_full_amount(step))
 
     def _is_starved(
         self, entry: book.JobEntry, step: workflow_pb2.Step
@@ -189,7 +223,25 @@
     step = entry.job.steps[group.step]
     usable = [w for w in workers.workers.values() if w.usable(now_s)]
     candidates = _candidates(entry, step, usable)
-    return _choose(step, group, candidates, effects) is not None
+    return _Candidates(step, group, candidates, effects).best() is not None
+
+
+def _full_amount(step: workflow_pb2.Step) -> resources.Amount:
+    """Returns what a task would use, with left-over processor time."""
+    return resources.Amount(
+        step.cpu_millicores, step.memory_mib, step.accelerators
+    )
+
+
+def _kind(entry: book.JobEntry, step: workflow_pb2.Step) -> tuple:
+    """Returns what else than amounts decides on which workers tasks fit."""
+    image = step.image if step.fills else ""
+    return (
+        entry.job.policy.service,
+        step.required_label,
+        step.fills,
+        image,
+    )
 
 
 def _candidates(
@@ -264,13 +316,15 @@
     run = max(t.run for t in tasks) + 1
     for pool in pools if step.same_rack else [candidates]:
         placements: list[Placement] = []
+        queue = _Candidates(step, group, pool, effects)
         for task in tasks:
-            worker = _choose(step, group, pool, effects)
+            worker = queue.best()
             if worker is None:
                 break
             placements.append(
                 _reserve(task, worker, run, jobs, workers, task.since_s)
             )
+            queue.update(worker)
         if len(placements) == len(tasks):
             return placements
         for placement in placements:
@@ -282,47 +336,72 @@
     return []
 
 
-def _choose(
-    step: workflow_pb2.Step,
-    group: model.GroupKey,
-    candidates: Iterable[roster.Worker],
-    effects: neighbours.Neighbours,
-    *,
-    any_strain: bool = False,
-) -> roster.Worker | None:
-    """Returns the worker that suits one more task of a group best."""
-    need = book.amount(step)
-    best = None
-    best_score: tuple = ()
-    for worker in candidates:
-        free = worker.free()
-        if not need.fits(free):
-            continue
+class _Candidates:
+    """Workers for tasks of one group, the best first.
+
+    A placement changes one worker's rating only, so that the others are rated
+    once for all tasks of the group.
+    """
+
+    def __init__(
+        self,
+        step: workflow_pb2.Step,
+        group: model.GroupKey,
+        workers: Iterable[roster.Worker],
+        effects: neighbours.Neighbours,
+        *,
+        any_strain: bool = False,
+    ) -> None:
+        self._step = step
+        self._group = group
+        self._need = book.amount(step)
+        self._effects = effects
+        self._any_strain = any_strain
+        self._heap: list[tuple[tuple, int, roster.Worker]] = []
+        for number, worker in enumerate(workers):
+            score = self._rate(worker)
+            if score is not None:
+                self._heap.append((score, number, worker))
+        heapq.heapify(self._heap)
+
+    def best(self) -> roster.Worker | None:
+        """Returns the worker that suits one more task best."""
+        return self._heap[0][2] if self._heap else None
+
+    def update(self, worker: roster.Worker) -> None:
+        """Rates the best worker again after a task was placed there."""
+        _, number, _ = heapq.heappop(self._heap)
+        score = self._rate(worker)
+        if score is not None:
+            heapq.heappush(self._heap, (score, number, worker))
+
+    def _rate(self, worker: roster.Worker) -> tuple | None:
+        """Rates a worker, the lowest best; None if a task does not fit."""
+        step = self._step
+        if not worker.has_room(self._need):
+            return None
         if (
             step.max_per_worker
-            and worker.step_counts.get(group, 0) >= step.max_per_worker
+            and worker.step_counts.get(self._group, 0) >= step.max_per_worker
         ):
-            continue
-        if step.fills:
-            # Before the first figures, how much room there is isn't known.
-            if not any_strain and worker.unknown_serving():
-                continue
-            room = worker.fill_room_millicores()
-            part = effects.room_part(
-                worker.figures,
-                worker.fill_shares,
-                step.image,
-                worker.share_of(step),
-            )
-            crowded = part < neighbours.LEAST_PART
-            if not any_strain and (crowded or room < step.cpu_millicores):
-                continue
-            score = _fill_score(step, worker, part)
-        else:
-            score = _score(step, worker, free)
-        if best is None or score < best_score:
-            best, best_score = worker, score
-    return best
+            return None
+        if not step.fills:
+            return _score(step, worker)
+        # Before the first figures, how much room there is isn't known.
+        if not self._any_strain and worker.unknown_serving():
+            return None
+        room = worker.fill_room_millicores()
+        if not self._any_strain and room < step.cpu_millicores:
+            return None
+        part = self._effects.room_part(
+            worker.figures,
+            worker.fill_shares,
+            step.image,
+            worker.share_of(step),
+        )
+        if not self._any_strain and part < neighbours.LEAST_PART:
+            return None
+        return _fill_score(step, worker, part)
 
 
 def _fill_score(
@@ -337,7 +416,7 @@
 
 
 def _score(
-    step: workflow_pb2.Step, worker: roster.Worker, free: resources.Amount
+    step: workflow_pb2.Step, worker: roster.Worker
 ) -> tuple[bool, int, int]:
     """Rates a worker for a task; the lowest is best.
 
@@ -345,7 +424,7 @@
     that would disturb them.
     """
     far = bool(step.data_rack) and step.data_rack != worker.rack
-    left = free.cpu_millicores - step.cpu_millicores
+    left = worker.free().cpu_millicores - step.cpu_millicores
     if step.long_running:
         # Workers with one kind of serving task suit more kinds of fill work.
         others = sum(worker.serving.values()) - worker.serving[step.image]
--- a/packages/wisterialug-core/src/wisterialug_core/workflow/roster.py
+++ b/packages/wisterialug-core/src/wisterialug_core/workflow/roster.py
@@ -61,8 +61,8 @@
 
     @property
     def rack(self) -> str:
-        """Returns the label of the worker's rack, which comes last."""
-        return self.report.labels[-1] if self.report.labels else ""
+        """Returns the label of the worker's rack."""
+        return self.report.rack
 
     def usable(self, now_s: float) -> bool:
         """Tells whether the worker may get new runs."""
@@ -98,7 +98,19 @@
 
     def unknown_serving(self) -> bool:
         """Tells whether a kind of serving task here has no figure yet."""
-        return bool(self.serving.keys() - self.figures.targets.keys())
+        targets = self.figures.targets
+        return any(image not in targets for image in self.serving)
+
+    def has_room(self, need: resources.Amount) -> bool:
+        """Tells whether an amount fits into what is not reserved."""
+        capacity, reserved = self.report.capacity, self.reserved
+        return (
+            capacity.cpu_millicores - reserved.cpu_millicores
+            >= need.cpu_millicores
+            and capacity.memory_mib - reserved.memory_mib >= need.memory_mib
+            and capacity.accelerators - reserved.accelerators
+            >= need.accelerators
+        )
 
     def free_but_for_batch(self) -> resources.Amount:
         """Returns what will be free once all finite runs have ended."""
@@ -107,7 +119,10 @@
     def fill_room_millicores(self) -> int:
         """Returns the processor that one more fill run may expect."""
         unused = int(self.serving_millicores * (1 - SERVING_USE))
-        return self.free().cpu_millicores + unused - self.fill_millicores
+        free = (
+            self.report.capacity.cpu_millicores - self.reserved.cpu_millicores
+        )
+        return free + unused - self.fill_millicores
 
 
 class Roster:
@@ -180,6 +195,14 @@
         total = sum(w.report.capacity.cpu_millicores for w in listed)
         return sum(w.reserved.cpu_millicores for w in listed) / max(1, total)
 
+    def room_millicores(self, now_s: float) -> int:
+        """Returns what lasting tasks leave of the usable workers."""
+        return sum(
+            w.free_but_for_batch().cpu_millicores
+            for w in self.workers.values()
+            if w.usable(now_s)
+        )
+
     def capacity_millicores(self, now_s: float) -> int:
         """Returns the processor of all usable workers."""
         return sum(
--- a/tests/test_core/test_workflow/test_placement.py
+++ b/tests/test_core/test_workflow/test_placement.py
@@ -202,6 +202,28 @@
             )
         self.assertEqual(3, len(self.plan()))
 
+    def test_backlog_does_not_cost_a_look_at_each_worker_for_each_job(self):
+        # Replays a burst of fill work that fits nowhere, on a full fleet.
+        for number in range(50):
+            worker = self.worker(f"w{number}", cpu=1000)
+            worker.serving["s"] = 1
+            worker.figures.targets["s"] = 0.8
+            worker.figures.mean_loads["s"] = 0.79
+        for number in range(100):
+            fill = step(20, fills=True, image=f"f{number % 4}")
+            fill.memory_mib += number
+            self.job(f"fill{number}", fill)
+            self.job(f"short{number}", step(20, max_per_worker=0))
+        self.assertEqual(50, len(self.plan()))
+        looks = []
+        room_part = self.effects.room_part
+        self.effects.room_part = lambda *args: looks.append(
+            room_part(*args)
+        ) or looks[-1]
+        self.assertEqual([], self.plan())
+        # One look for each kind of fill work, not for each job or task.
+        self.assertLessEqual(len(looks), 4 * 50)
+
     def test_jobs_wait_their_turn_while_most_is_reserved(self):
         worker = self.worker("w0", cpu=2000)
         self.crowd(worker)
