Workers are split into shards; lasting tasks are lent

Cause: one owner for all workers.

Change: racks are dealt to shards of about 80 workers, evenly from each data centre, in a row that only grows, so that a worker never changes its shard and fencing tokens stay in order. The VM that accepts a job chooses its shard by room and by work ahead; the row of the job tells it. Lasting tasks that wait for a second are lent to a shard with room, by a row that is written in the same transaction as the lender's record; the latest loan counts. VMs with more processors for each of their shards take the next one.

Ruled out on the way (trial): five or four shards.

--- a/packages/wisterialug-core/src/wisterialug_core/workflow/book.py
+++ b/packages/wisterialug-core/src/wisterialug_core/workflow/book.py
@@ -14,6 +14,11 @@
 
 # Ids of dropped jobs that are remembered; rows are removed within seconds.
 MAX_DROPPED = 10_000
+# Cancelled jobs of other shards that are remembered: a loan may be read after
+# the cancelling of its job, by seconds where a VM was cut off.
+MAX_CANCELLED_ELSEWHERE = 10_000
+# Where tasks are that were never here.
+HOME = "home"
 
 FINAL_STATES = frozenset(
     {
@@ -42,12 +47,14 @@
     """One job and its tasks.
 
     Attributes:
+      home: The job is of this shard; else it has lent tasks here.
       cancelled: The job's caller has cancelled it.
       groups: Tasks by repetition and step, made when they are first needed.
       open_tasks: Tasks of a group that are not done.
     """
 
     job: workflow_pb2.Job
+    home: bool = True
     state: int = workflow_pb2.JOB_QUEUED
     cancelled: bool = False
     ended_ms: int = 0
@@ -80,7 +87,11 @@
         tasks = self.groups.get(key)
         if tasks is None:
             count = self.job.steps[key.step].count
-            tasks = [model.Task(model.TaskKey(*key, i)) for i in range(count)]
+            lent_to = "" if self.home else HOME
+            tasks = [
+                model.Task(model.TaskKey(*key, i), lent_to=lent_to)
+                for i in range(count)
+            ]
             self.groups[key] = tasks
             self.open_tasks[key] = count
         return tasks
@@ -100,7 +111,10 @@
             for number, step in enumerate(self.job.steps):
                 if self.step_done(repetition, number):
                     continue
-                if all(self.step_done(repetition, a) for a in step.after):
+                # Only tasks whose turn has come are lent.
+                if not self.home or all(
+                    self.step_done(repetition, a) for a in step.after
+                ):
                     yield model.GroupKey(self.job.id, repetition, number)
 
     def all_done(self) -> bool:
@@ -126,6 +140,7 @@
         self.open_jobs: dict[str, JobEntry] = {}
         # Ids of jobs that were dropped lately, the oldest first.
         self._dropped: dict[str, None] = {}
+        self._cancelled_elsewhere: dict[str, None] = {}
 
     def add(self, job: workflow_pb2.Job) -> JobEntry | None:
         """Adds a job; one that is known already stays as it is.
@@ -138,11 +153,74 @@
         if entry is None and job.id in self._dropped:
             return None
         if entry is None:
-            entry = JobEntry(job)
-            self.jobs[job.id] = entry
-            self.open_jobs[job.id] = entry
+            entry = self._enter(JobEntry(job))
         return entry
 
+    def add_borrower(self, job: workflow_pb2.Job) -> JobEntry | None:
+        """Adds a job of another shard, for the tasks that it lends."""
+        entry = self.jobs.get(job.id)
+        if entry is None and (
+            job.id in self._dropped or job.id in self._cancelled_elsewhere
+        ):
+            return None
+        if entry is None:
+            entry = self._enter(JobEntry(job, home=False))
+        return entry
+
+    def _enter(self, entry: JobEntry) -> JobEntry:
+        self.jobs[entry.job.id] = entry
+        self.open_jobs[entry.job.id] = entry
+        return entry
+
+    def lend(self, task: model.Task, shard: str) -> None:
+        """Notes that another shard is to run a task that waits."""
+        task.lent_to = shard
+        task.loans += 1
+        self.dirty.add(task.key.job)
+
+    def loan(
+        self, job: str, from_shard: str, to_shard: str
+    ) -> workflow_pb2.Loan:
+        """Returns all tasks of a job that are lent to a shard."""
+        entry = self.jobs[job]
+        message = workflow_pb2.Loan(
+            job=entry.job, from_shard=from_shard, to_shard=to_shard
+        )
+        for tasks in entry.groups.values():
+            message.tasks.extend(
+                _record(task) for task in tasks if task.lent_to == to_shard
+            )
+        return message
+
+    def lent_to(self, job: str) -> set[str]:
+        """Returns the shards to which tasks of a job are lent."""
+        return {
+            task.lent_to
+            for tasks in self.jobs[job].groups.values()
+            for task in tasks
+            if task.lent_to and task.lent_to != HOME
+        }
+
+    def borrow(self, loan: workflow_pb2.Loan) -> bool:
+        """Takes over lent tasks; tells whether any are new here."""
+        entry = self.add_borrower(loan.job)
+        if entry is None or entry.final:
+            return False
+        new = False
+        for record in loan.tasks:
+            key = model.GroupKey(entry.job.id, record.repetition, record.step)
+            task = entry.group(key)[record.index]
+            if record.loans <= task.loans:
+                continue
+            task.lent_to = ""
+            task.loans = record.loans
+            task.run = max(task.run, record.run)
+            task.checkpoint = record.checkpoint
+            new = True
+        if new:
+            self.dirty.add(entry.job.id)
+        return new
+
     def restore(
         self, entry: JobEntry, progress: workflow_pb2.Progress
     ) -> list[model.Task]:
@@ -160,6 +238,8 @@
             task.run = record.run
             task.failures = record.failures
             task.checkpoint = record.checkpoint
+            task.lent_to = record.lent_to
+            task.loans = record.loans
             if record.done:
                 task.done = True
                 entry.open_tasks[key] -= 1
@@ -239,9 +319,16 @@
     def cancel(self, job: str, now_ms: int) -> bool:
         """Notes that a job's caller has cancelled it; tells if that is new."""
         entry = self.jobs.get(job)
-        if entry is None or entry.final:
+        if entry is None:
+            self._cancelled_elsewhere[job] = None
+            if len(self._cancelled_elsewhere) > MAX_CANCELLED_ELSEWHERE:
+                oldest = next(iter(self._cancelled_elsewhere))
+                del self._cancelled_elsewhere[oldest]
             return False
+        # Also where it ended before: its row is then removed with the job's.
         entry.cancelled = True
+        if entry.final:
+            return False
         self._finish(entry, workflow_pb2.JOB_CANCELLED, now_ms)
         if not entry.active:
             self.open_jobs.pop(job, None)
@@ -256,25 +343,16 @@
         for tasks in entry.groups.values():
             for task in tasks:
                 # What ended long ago needs no detail of its tasks.
-                if not task.run or (entry.final and not task.worker):
-                    continue
-                message.tasks.add(
-                    repetition=task.key.repetition,
-                    step=task.key.step,
-                    index=task.key.index,
-                    run=task.run,
-                    worker=task.worker,
-                    done=task.done,
-                    failures=task.failures,
-                    checkpoint="" if task.done else task.checkpoint,
-                )
+                touched = task.run or task.loans
+                if touched and (task.worker or not entry.final):
+                    message.tasks.append(_record(task))
         return message
 
     def waiting_by_route(self) -> dict[str, int]:
         """Counts the jobs of each route that have not begun."""
         counts: dict[str, int] = {}
         for entry in self.open_jobs.values():
-            if entry.state == workflow_pb2.JOB_QUEUED:
+            if entry.home and entry.state == workflow_pb2.JOB_QUEUED:
                 counts[entry.job.route] = counts.get(entry.job.route, 0) + 1
         return counts
 
@@ -282,7 +360,7 @@
         """Returns the declared work of finite jobs that is not done yet."""
         total = 0
         for entry in self.open_jobs.values():
-            if entry.final:
+            if entry.final or not entry.home:
                 continue
             for number, step in enumerate(entry.job.steps):
                 if step.long_running:
@@ -292,6 +370,28 @@
                 total += count * step.cpu_millicores * step.estimate_ms // 1000
         return total
 
+    def waiting_lasting(self, now_ms: int) -> list[model.Task]:
+        """Returns the lasting tasks whose turn has come and that wait.
+
+        Those of gangs are left out: they stay together.
+        """
+        waiting = []
+        for entry in self.open_jobs.values():
+            if entry.final or not any(s.long_running for s in entry.job.steps):
+                continue
+            for group in entry.ready_groups(now_ms):
+                step = entry.job.steps[group.step]
+                if step.long_running and not step.gang:
+                    waiting += [t for t in entry.group(group) if t.waits]
+        return waiting
+
+    def waiting_lasting_millicores(self, now_ms: int) -> int:
+        """Returns the processor that waiting lasting tasks ask for."""
+        return sum(
+            self.step(task.key).cpu_millicores
+            for task in self.waiting_lasting(now_ms)
+        )
+
     def _mark_done(self, entry: JobEntry, task: model.Task) -> None:
         step = entry.job.steps[task.key.step]
         key = model.GroupKey(*task.key[:3])
@@ -306,3 +406,18 @@
         entry.state = state
         entry.ended_ms = now_ms
         self.dirty.add(entry.job.id)
+
+
+def _record(task: model.Task) -> workflow_pb2.TaskRecord:
+    return workflow_pb2.TaskRecord(
+        repetition=task.key.repetition,
+        step=task.key.step,
+        index=task.key.index,
+        run=task.run,
+        worker=task.worker,
+        done=task.done,
+        failures=task.failures,
+        checkpoint="" if task.done else task.checkpoint,
+        lent_to=task.lent_to,
+        loans=task.loans,
+    )
--- /dev/null
+++ b/packages/wisterialug-core/src/wisterialug_core/workflow/layouts.py
@@ -0,0 +1,239 @@
+"""Which shard decides for which workers, and which shard a new job goes to.
+
+Load pattern: more starts a second than one process can decide and send. Each
+shard gets racks of all data centres, so that the loss of one leaves every
+shard with workers; jobs go where the least work is ahead of them.
+"""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+from typing import TYPE_CHECKING, NamedTuple
+
+from wisterialug_core.schema import workflow_pb2
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Iterable, Mapping
+
+    from wisterialug_core.workflow import model
+
+# Workers that one owner keeps up with: it starts two tasks a second on each
+# and spends 3 ms of processor on a task.
+WORKERS_A_SHARD = 80
+# Each VM follows the owners of all shards; bounds what it reads.
+MAX_SHARDS = 24
+# Shards that are compared for one job. With two, VMs that know the same old
+# figures do not all choose the same shard.
+COMPARED_SHARDS = 2
+FIRST_SHARD = 0
+# Part of its processors that a shard is taken to have for short tasks at least,
+# so that one that seems full is still tried now and then.
+LEAST_ROOM_SHARE = 0.01
+
+
+class RackKey(NamedTuple):
+    """Names a rack's workers of one service."""
+
+    service: str
+    data_centre: str
+    rack: str
+
+
+@dataclasses.dataclass(frozen=True)
+class ShardLoad:
+    """What a VM knows of a shard.
+
+    Attributes:
+      capacity_millicores: Processor of its workers.
+      room_millicores: What lasting tasks leave of it.
+      backlog_core_ms: Work of other tasks that is ahead.
+      owned: Its owner is alive, as far as is known.
+    """
+
+    capacity_millicores: int
+    room_millicores: int
+    backlog_core_ms: int
+    owned: bool
+
+    @property
+    def room(self) -> float:
+        """Returns the room to reckon with, in thousandths of a core."""
+        least = LEAST_ROOM_SHARE * self.capacity_millicores
+        return max(least, self.room_millicores, 1)
+
+    @property
+    def wait_s(self) -> float:
+        """Returns the time in which the work that is ahead will be done."""
+        return self.backlog_core_ms / self.room
+
+
+@dataclasses.dataclass
+class _Places:
+    """The racks of one service in one shard."""
+
+    labels: set[str] = dataclasses.field(default_factory=set)
+
+
+class Layout:
+    """An immutable view of how workers are split into shards."""
+
+    def __init__(self, message: workflow_pb2.Layout | None = None) -> None:
+        self.message = message or workflow_pb2.Layout()
+        self.shards = max(1, self.message.shards)
+        self._shard_of: dict[RackKey, int] = {}
+        self._places: dict[str, dict[int, _Places]] = {}
+        for place in self.message.racks:
+            key = RackKey(place.service, place.data_centre, place.rack)
+            self._shard_of[key] = place.shard
+            shards = self._places.setdefault(place.service, {})
+            places = shards.setdefault(place.shard, _Places())
+            places.labels.update(place.labels)
+
+    def shard_of(self, report: model.WorkerReport) -> int | None:
+        """Returns a worker's shard; None until its rack has one."""
+        return self._shard_of.get(rack_key(report))
+
+    def choose(
+        self,
+        job: workflow_pb2.Job,
+        loads: Mapping[int, ShardLoad],
+        rng: random.Random,
+    ) -> int:
+        """Returns the shard for a new job.
+
+        Args:
+          job: The job, with its policy.
+          loads: What is known of each shard.
+          rng: Draws the shards to compare.
+        """
+        service = job.policy.service
+        shards = self._places.get(service)
+        if not shards:
+            return FIRST_SHARD
+        wanted = {s.required_label for s in job.steps if s.required_label}
+        able = self.able(service, wanted) or list(shards)
+        options = [s for s in able if loads[s].owned] or able
+        # All VMs know the same figures, which are half a second old; were they
+        # to choose the best shard, a burst would all go there.
+        weights = [loads[shard].room for shard in options]
+        if any(step.long_running for step in job.steps):
+            return rng.choices(options, weights)[0]
+        near = self._near(job)
+        if near in options and self._worth_waiting(job, loads, options, near):
+            return near
+        drawn = rng.choices(options, weights, k=COMPARED_SHARDS)
+        return min(drawn, key=lambda shard: loads[shard].wait_s)
+
+    def able(self, service: str, labels: set[str]) -> list[int]:
+        """Returns the shards that have a service's workers with labels."""
+        shards = self._places.get(service, {})
+        return [s for s, places in shards.items() if labels <= places.labels]
+
+    def _near(self, job: workflow_pb2.Job) -> int | None:
+        """Returns the shard of the rack where the job's first data is."""
+        for step in job.steps:
+            if step.data_rack:
+                for key, shard in self._shard_of.items():
+                    if (key.service, key.rack) == (
+                        job.policy.service,
+                        step.data_rack,
+                    ):
+                        return shard
+        return None
+
+    def _worth_waiting(
+        self,
+        job: workflow_pb2.Job,
+        loads: Mapping[int, ShardLoad],
+        options: list[int],
+        near: int,
+    ) -> bool:
+        """Tells whether the wait there is shorter than what distance costs.
+
+        Far from its data a task takes about twice as long.
+        """
+        far_s = sum(s.estimate_ms for s in job.steps if s.data_rack) / 1000
+        shortest_s = min(loads[shard].wait_s for shard in options)
+        return loads[near].wait_s <= shortest_s + far_s
+
+
+def rack_key(report: model.WorkerReport) -> RackKey:
+    """Returns the rack that a worker belongs to."""
+    return RackKey(report.service, report.data_centre, report.rack)
+
+
+def extend(
+    layout: Layout, reports: Iterable[model.WorkerReport]
+) -> workflow_pb2.Layout | None:
+    """Returns the layout with racks that it did not have; None if there are none.
+
+    A rack goes where its service has the least in its data centre, then the
+    least in all.
+    """
+    by_rack: dict[RackKey, list[model.WorkerReport]] = {}
+    sizes: collections.Counter[str] = collections.Counter()
+    for report in reports:
+        by_rack.setdefault(rack_key(report), []).append(report)
+        sizes[report.service] += 1
+    known = {
+        RackKey(p.service, p.data_centre, p.rack) for p in layout.message.racks
+    }
+    new = sorted(by_rack.keys() - known)
+    if not new:
+        return None
+    message = workflow_pb2.Layout()
+    message.CopyFrom(layout.message)
+    message.shards = max(layout.shards, _shards_for(sum(sizes.values())))
+    for key in new:
+        workers = by_rack[key]
+        message.racks.add(
+            service=key.service,
+            data_centre=key.data_centre,
+            rack=key.rack,
+            shard=_emptiest(message, key, _shards_for(sizes[key.service])),
+            capacity_millicores=sum(
+                worker.capacity.cpu_millicores for worker in workers
+            ),
+            labels=sorted(
+                {
+                    label
+                    for worker in workers
+                    for label in worker.labels
+                    if label != key.rack
+                }
+            ),
+        )
+    return message
+
+
+def _shards_for(workers: int) -> int:
+    return max(1, min(MAX_SHARDS, workers // WORKERS_A_SHARD))
+
+
+def _emptiest(message: workflow_pb2.Layout, key: RackKey, shards: int) -> int:
+    """Returns the shard for a new rack.
+
+    Args:
+      message: The layout so far.
+      key: The rack.
+      shards: Shards that the rack's service is split into; a small service
+        stays in one, where its wide jobs find room.
+    """
+    here: collections.Counter[int] = collections.Counter()
+    service: collections.Counter[int] = collections.Counter()
+    total: collections.Counter[int] = collections.Counter()
+    for place in message.racks:
+        total[place.shard] += place.capacity_millicores
+        if place.service == key.service:
+            service[place.shard] += place.capacity_millicores
+            if place.data_centre == key.data_centre:
+                here[place.shard] += 1
+    options = set(service)
+    if len(options) < shards:
+        options = set(range(message.shards))
+    return min(
+        options,
+        key=lambda shard: (here[shard], service[shard], total[shard], shard),
+    )
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/election.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/election.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import functools
 import random
 from typing import TYPE_CHECKING
 
@@ -14,6 +15,7 @@
 from wisterialug_daemon.workflow import (
     clock,
     errors,
+    layout_keeper,
     owner,
     pool,
     records,
@@ -22,6 +24,7 @@
 )
 
 if TYPE_CHECKING:
+    from wisterialug_core.workflow import layouts
     from wisterialug_daemon.workflow import settings, sources, worker_calls
 
 # Silence after which an owner is taken for dead: three renewals.
@@ -32,6 +35,8 @@
 HANDICAP_S = 0.25
 MAX_HANDICAP_S = 1.0
 CHECK_S = 0.15
+# Renewals of all shards are read in batches: each VM reads them.
+WATCH_SPACING_S = 0.35
 WATCH_WAIT_S = 1.0
 RETRY_S = 0.3
 COMMIT_TIMEOUT_S = 1.0
@@ -69,10 +74,9 @@
         self._store = store
         self._calls = calls
         self._registry = registry
-        self._shards = {
-            name: _Shard(workflow_pb2.Ownership())
-            for name in records.shard_names(cfg.shards)
-        }
+        self._keeper = layout_keeper.LayoutKeeper(store)
+        self._shards: dict[str, _Shard] = {}
+        self._add_shards()
         self._owned: dict[str, owner.ShardOwner] = {}
         self._greenlets = pool.Greenlets()
         # Since when the store answers; silence counts from then on only.
@@ -94,6 +98,10 @@
         """Tells whether any shard is still owned here."""
         return bool(self._owned)
 
+    def owned(self) -> list[str]:
+        """Returns the shards that are owned here."""
+        return list(self._owned)
+
     def close(self) -> None:
         """Ends all activity at once."""
         self._closing = True
@@ -101,6 +109,11 @@
             shard_owner.lose("the process ends")
         self._greenlets.close()
 
+    @property
+    def layout(self) -> layouts.Layout:
+        """Returns how workers are split into shards, as far as is known."""
+        return self._keeper.layout
+
     def ownership(self, shard: str) -> workflow_pb2.Ownership:
         """Returns the shard's latest known ownership."""
         return self._shards[shard].ownership
@@ -131,22 +144,45 @@
                 self._answering_since_s = clock.now_s()
             for row in rows:
                 self._note(row)
+            eventlet.sleep(WATCH_SPACING_S)
 
     def _read_all(self):  # noqa: ANN202 - a result of rows and a version
-        rows: list[row_store.Row] = []
-        version = -1
-        for shard in self._shards:
+        """Reads the layout and all owners, with the version of the layout."""
+        ref = records.layout()
+        outcome = self._store.scan(
+            ref.table, ref.part, timeout_s=COMMIT_TIMEOUT_S
+        )
+        if outcome.is_err():
+            return outcome
+        version = outcome.ok_value.version
+        rows = list(outcome.ok_value.rows)
+        for row in rows:
+            self._note(row)
+        for shard in list(self._shards):
             outcome = self._store.scan(
                 records.OWNERS_TABLE, shard, timeout_s=COMMIT_TIMEOUT_S
             )
             if outcome.is_err():
                 return outcome
             rows += outcome.ok_value.rows
-            if version < 0:
-                version = outcome.ok_value.version
         return outcome.map(lambda _: (rows, version))
 
+    def _add_shards(self) -> None:
+        for number in range(self.layout.shards):
+            self._shards.setdefault(
+                records.shard_name(number), _Shard(workflow_pb2.Ownership())
+            )
+
+    def _note_layout(self, row: row_store.Row) -> None:
+        if self._keeper.note(row):
+            self._add_shards()
+            for shard_owner in list(self._owned.values()):
+                shard_owner.note_layout()
+
     def _note(self, row: row_store.Row) -> None:
+        if row.ref == records.layout():
+            self._note_layout(row)
+            return
         shard = self._shards.get(row.ref.part)
         if shard is None or row.version <= shard.version:
             return
@@ -174,7 +210,8 @@
             eventlet.sleep(CHECK_S)
             if not self._answering_since_s:
                 continue
-            for name, shard in self._shards.items():
+            self._add_shards()
+            for name, shard in list(self._shards.items()):
                 if name not in self._owned and self._is_free(shard):
                     self._consider(name, shard)
 
@@ -199,10 +236,13 @@
             if self._is_earlier_life(shard):
                 self._claim(name, shard)
                 return
-            # VMs with more processors come first: an owner is worth most there.
+            # VMs with more processors for each of their shards come first: an
+            # owner is worth most there.
+            owned = len(self._owned) + 1
+            handicap_s = HANDICAP_S * owned / self._cfg.processors
             shard.claim_s = (
                 now_s
-                + min(MAX_HANDICAP_S, HANDICAP_S / self._cfg.processors)
+                + min(MAX_HANDICAP_S, handicap_s)
                 + random.uniform(0, MAX_JITTER_S)
             )
         if now_s < shard.claim_s:
@@ -255,11 +295,31 @@
             self._store, name, ownership, outcome.ok_value, sent_s
         )
         shard_owner = owner.ShardOwner(
-            self._cfg, rows, self._store, self._calls, self._registry
+            self._cfg,
+            rows,
+            self._store,
+            self._calls,
+            self._registry,
+            self._keeper,
+            functools.partial(self._rooms_elsewhere, name),
         )
         self._owned[name] = shard_owner
+        for other in self._shards.values():
+            # With one shard more, this VM is less in a hurry for others.
+            other.claim_s = 0.0
         self._greenlets.spawn(self._run, name, shard_owner)
 
+    def _rooms_elsewhere(self, name: str) -> dict[str, int]:
+        """Returns the room in other shards that have an owner."""
+        now_s = clock.now_s()
+        return {
+            other: shard.ownership.room_millicores
+            for other, shard in self._shards.items()
+            if other != name
+            and shard.ownership.owner
+            and now_s - shard.changed_s < OWNER_SILENCE_S
+        }
+
     def _run(self, name: str, shard_owner: owner.ShardOwner) -> None:
         try:
             shard_owner.run()
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/intake.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/intake.py
@@ -4,18 +4,20 @@
 
 import dataclasses
 import enum
+import random
 from typing import TYPE_CHECKING
 
 import eventlet
 from google.protobuf import message
 
 from wisterialug_core.schema import workflow_pb2
+from wisterialug_core.workflow import layouts
 from wisterialug_daemon import logs, metrics
 from wisterialug_daemon.workflow import clock, errors, records, row_store
 
 if TYPE_CHECKING:
     from wisterialug_core.workflow import routes
-    from wisterialug_daemon.workflow import election, settings
+    from wisterialug_daemon.workflow import election
 
 STORE_TIMEOUT_S = 1.0
 FIRST_RETRY_S = 0.03
@@ -31,8 +33,13 @@
 # can try another VM, which may reach it.
 SUBMIT_SHARE = 0.45
 STARTING_RETRY_AFTER_S = 1
-# Counts older than this are not given; from the users' promise.
-MAX_COUNT_AGE_S = 1.9
+# Counts seen longer ago than this are not given: with the time until they are
+# seen they are less than the two seconds old that callers are promised.
+MAX_COUNT_AGE_S = 1.5
+# An owner that was not heard of for this long may be gone; jobs go elsewhere.
+OWNER_DOUBTED_S = 1.2
+# Jobs whose shard is remembered; a caller mostly asks the VM that took the job.
+MAX_KNOWN_SHARDS = 20_000
 
 
 class Outcome(enum.Enum):
@@ -63,18 +70,38 @@
     detail: str = ""
 
 
+@dataclasses.dataclass
+class _Sent:
+    """What this VM handed to a shard since the owner's renewal."""
+
+    renewal: int
+    lasting_millicores: int = 0
+    core_ms: int = 0
+
+    def add(self, job: workflow_pb2.Job) -> None:
+        """Counts a job."""
+        for step in job.steps:
+            millicores = step.count * step.cpu_millicores
+            if step.long_running:
+                self.lasting_millicores += millicores
+            else:
+                self.core_ms += millicores * step.estimate_ms // 1000
+
+
 class Intake:
     """The callers' side of the scheduler; any VM serves any job."""
 
     def __init__(
         self,
-        cfg: settings.WorkflowSettings,
         store: row_store.RowStore,
         owners: election.Election,
     ) -> None:
-        self._cfg = cfg
         self._store = store
         self._owners = owners
+        self._rng = random.Random()
+        self._sent: dict[str, _Sent] = {}
+        # Shards of jobs that were accepted here, the oldest first.
+        self._known_shards: dict[str, str] = {}
 
     def submit(
         self, route: routes.Route, job: workflow_pb2.Job, budget_s: float
@@ -89,8 +116,8 @@
         job.route = route.name
         job.policy.CopyFrom(route.policy)
         job.accepted_ms = clock.wall_ms()
-        shard = records.shard_of(job.id, self._cfg.shards)
-        ref = records.job(shard, job.id)
+        job.shard = self._choose_shard(job)
+        ref = records.job(job.id)
         transaction = row_store.Transaction(
             conditions=((ref, 0),),
             writes=((ref, job.SerializeToString()),),
@@ -107,6 +134,8 @@
             answer = self._write(
                 transaction, budget_s * SUBMIT_SHARE, known_is_ok=True
             )
+        if answer.outcome is Outcome.OK and not answer.detail:
+            self._remember(job.id, job.shard)
         metrics.SUBMIT_SECONDS.labels(answer.outcome.value).observe(
             clock.now_s() - begun_s
         )
@@ -114,17 +143,77 @@
             "job-submitted",
             job=job.id,
             route=route.name,
-            shard=shard,
+            shard=job.shard,
             outcome=answer.outcome.value,
             steps=len(job.steps),
             detail=answer.detail,
         )
         return answer
 
+    def _choose_shard(self, job: workflow_pb2.Job) -> str:
+        layout = self._owners.layout
+        if layout.shards == 1:
+            return records.FIRST_SHARD
+        loads = {}
+        for number in range(layout.shards):
+            name = records.shard_name(number)
+            known = self._owners.ownership(name)
+            sent = self._sent.get(name)
+            if sent is None or sent.renewal != known.renewal:
+                sent = _Sent(known.renewal)
+                self._sent[name] = sent
+            loads[number] = layouts.ShardLoad(
+                known.capacity_millicores,
+                known.room_millicores - sent.lasting_millicores,
+                known.backlog_core_ms + sent.core_ms,
+                bool(known.owner)
+                and self._owners.age_s(name) < OWNER_DOUBTED_S,
+            )
+        shard = records.shard_name(layout.choose(job, loads, self._rng))
+        self._sent[shard].add(job)
+        return shard
+
+    def _remember(self, job_id: str, shard: str) -> None:
+        self._known_shards[job_id] = shard
+        if len(self._known_shards) > MAX_KNOWN_SHARDS:
+            del self._known_shards[next(iter(self._known_shards))]
+
+    def _likely_shard(self, job_id: str) -> str:
+        """Returns a job's shard if it is known or the only one, else ''."""
+        if self._owners.layout.shards == 1:
+            return records.FIRST_SHARD
+        return self._known_shards.get(job_id, "")
+
     def state(self, job_id: str, budget_s: float) -> Answer:
         """Returns the state of a job."""
-        shard = records.shard_of(job_id, self._cfg.shards)
         until_s = clock.now_s() + budget_s - ANSWER_MARGIN_S
+        likely = self._likely_shard(job_id)
+        if likely:
+            answer = self._recorded_state(likely, job_id, until_s)
+            if answer is not None:
+                return answer
+        inbox = self._read(records.job(job_id), until_s)
+        if inbox is None:
+            return self._unreadable(job_id)
+        if not inbox.rows:
+            logs.event("job-unknown", job=job_id, version=inbox.version)
+            return Answer(Outcome.NO_JOB)
+        try:
+            shard = workflow_pb2.Job.FromString(inbox.rows[0].value).shard
+        except message.DecodeError as exc:
+            logs.warning("job-unreadable", job=job_id, error=str(exc))
+            return self._unreadable(job_id)
+        self._remember(job_id, shard)
+        if shard != likely:
+            answer = self._recorded_state(shard, job_id, until_s)
+            if answer is not None:
+                return answer
+        return Answer(Outcome.OK, workflow_pb2.JOB_QUEUED)
+
+    def _recorded_state(
+        self, shard: str, job_id: str, until_s: float
+    ) -> Answer | None:
+        """Returns the state that a shard's owner has recorded, if any."""
         progress = self._read(records.progress(shard, job_id), until_s)
         if progress is None:
             return self._unreadable(job_id)
@@ -135,24 +224,17 @@
                 logs.warning("progress-unreadable", job=job_id, error=str(exc))
                 return self._unreadable(job_id)
             return Answer(Outcome.OK, record.state)
-        inbox = self._read(records.job(shard, job_id), until_s)
-        if inbox is None:
-            return self._unreadable(job_id)
-        if inbox.rows:
-            return Answer(Outcome.OK, workflow_pb2.JOB_QUEUED)
-        logs.event("job-unknown", job=job_id, version=inbox.version)
-        return Answer(Outcome.NO_JOB)
+        return None
 
     def cancel(self, job_id: str, budget_s: float) -> Answer:
         """Cancels a job, once this is durable."""
-        shard = records.shard_of(job_id, self._cfg.shards)
         until_s = clock.now_s() + budget_s - ANSWER_MARGIN_S
-        inbox = self._read(records.job(shard, job_id), until_s)
+        inbox = self._read(records.job(job_id), until_s)
         if inbox is None:
             return self._unreadable(job_id)
         if not inbox.rows:
             return Answer(Outcome.NO_JOB)
-        ref = records.cancel(shard, job_id)
+        ref = records.cancel(job_id)
         answer = self._write(
             row_store.Transaction(
                 conditions=((ref, 0),), writes=((ref, b"1"),)
@@ -160,15 +242,14 @@
             until_s - clock.now_s() + ANSWER_MARGIN_S,
             known_is_ok=True,
         )
-        logs.event(
-            "job-cancel", job=job_id, shard=shard, outcome=answer.outcome.value
-        )
+        logs.event("job-cancel", job=job_id, outcome=answer.outcome.value)
         return answer
 
     def waiting(self, route: routes.Route) -> Answer:
         """Returns how many jobs of a queue wait for their first start."""
         total = 0
-        for shard in records.shard_names(self._cfg.shards):
+        for number in range(self._owners.layout.shards):
+            shard = records.shard_name(number)
             if self._owners.age_s(shard) > MAX_COUNT_AGE_S:
                 return Answer(
                     Outcome.REFUSED,
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/owner.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/owner.py
@@ -22,6 +22,7 @@
 from wisterialug_daemon.workflow import (
     clock,
     errors,
+    lender,
     pool,
     records,
     shard_feeds,
@@ -31,7 +32,10 @@
 )
 
 if TYPE_CHECKING:
+    from collections.abc import Callable, Mapping
+
     from wisterialug_daemon.workflow import (
+        layout_keeper,
         row_store,
         settings,
         sources,
@@ -71,6 +75,8 @@
         store: row_store.RowStore,
         calls: worker_calls.WorkerCalls,
         registry: sources.WorkerRegistry,
+        keeper: layout_keeper.LayoutKeeper,
+        rooms: Callable[[], Mapping[str, int]],
     ) -> None:
         self.cfg = cfg
         self.rows = rows
@@ -81,9 +87,10 @@
         self.lost = False
         self.greenlets = pool.Greenlets()
         self.taken_s = clock.now_s()
-        self._feeds = shard_feeds.ShardFeeds(self, store, registry)
+        self._feeds = shard_feeds.ShardFeeds(self, store, registry, keeper)
         self._sessions: dict[str, worker_session.WorkerSession] = {}
         self._starter = starts.Starter(self)
+        self._lender = lender.Lender(rows.shard, self.book, keeper, rooms)
         self._pending: list[placement.Placement] = []
         self._wake = eventlet.event.Event()
         self._pruned_s = clock.now_s()
@@ -112,6 +119,12 @@
         if not self._wake.ready():
             self._wake.send()
 
+    def note_layout(self) -> None:
+        """Takes in workers that a new layout gives to the shard."""
+        if self._feeds.registry_seen:
+            self._feeds.note_layout()
+            self.wake()
+
     def lose(self, reason: str) -> None:
         """Stops deciding for the shard."""
         if self.lost:
@@ -163,14 +176,19 @@
         self._feeds.inbox_cursor = content.cursor
         self.effects.restore(content.effects)
         adopted = 0
-        for job in content.jobs:
-            entry = self.book.add(job)
-            progress = content.progress.get(job.id)
+        for job in content.inbox.jobs:
+            self.book.add(job)
+        for loan in content.inbox.loans:
+            self.book.add_borrower(loan.job)
+        for job, entry in list(self.book.jobs.items()):
+            progress = content.progress.get(job)
             if progress is not None:
                 for task in self.book.restore(entry, progress):
                     self._adopt(task)
                     adopted += 1
-        for job in content.cancelled:
+        for loan in content.inbox.loans:
+            self.book.borrow(loan)
+        for job in content.inbox.cancelled:
             self.book.cancel(job, clock.wall_ms())
         logs.event(
             "shard-loaded",
@@ -300,6 +318,7 @@
                 clock.wall_ms(),
             )
         self._starter.stop_unwanted()
+        self._lender.check(now_s)
         renewal_due = now_s - self.rows.renewed_s >= RENEWAL_S
         if self.book.dirty or renewal_due:
             self._record(renewal_due)
@@ -327,6 +346,7 @@
             self._effects_kept_s = now_s
             learned = self.effects.to_message().SerializeToString()
             writes.append((records.effects(shard), learned))
+        writes += self._lender.take_rows(jobs)
         renewal = self._renewal() if renewal_due else None
         outcome = self.rows.change(
             writes, self._prunable(), renewal, lambda: not self.lost
@@ -370,6 +390,7 @@
 
     def _renewal(self) -> workflow_pb2.Ownership:
         shard = self.rows.shard
+        now_s = clock.now_s()
         backlog_core_ms = self.book.backlog_core_ms()
         metrics.SHARD_EPOCH.labels(shard).set(self.epoch)
         metrics.SHARD_JOBS.labels(shard).set(len(self.book.open_jobs))
@@ -380,7 +401,9 @@
             renewal=self.rows.ownership.renewal + 1,
             waiting=self.book.waiting_by_route(),
             backlog_core_ms=backlog_core_ms,
-            capacity_millicores=self.roster.capacity_millicores(clock.now_s()),
+            capacity_millicores=self.roster.capacity_millicores(now_s),
+            room_millicores=self.roster.room_millicores(now_s)
+            - self.book.waiting_lasting_millicores(clock.wall_ms()),
         )
 
     def _prunable(self) -> list[row_store.RowRef]:
@@ -396,12 +419,16 @@
                 continue
             if job in self.book.dirty:
                 continue
+            loans = self._lender.rows_of(job)
             self.book.drop(job)
             shard = self.rows.shard
-            removes.append(records.job(shard, job))
             removes.append(records.progress(shard, job))
+            removes += loans
+            if not entry.home:
+                continue
+            removes.append(records.job(job))
             if entry.cancelled:
-                removes.append(records.cancel(shard, job))
+                removes.append(records.cancel(job))
             if len(removes) >= PRUNED_A_ROUND - 2:
                 break
         return removes
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/records.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/records.py
@@ -14,55 +14,63 @@
 MARKS_TABLE = "marks"
 MEMBERS_TABLE = "members"
 
-# Parts of a shard's inbox: with 16, a store that takes a quarter of a second a
-# change still accepts sixty jobs a second.
+# Parts of the inbox: with 16, a store that takes a quarter of a second a change
+# still accepts sixty jobs a second.
 INBOX_PARTS = 16
-# More shards than any deployment has; keeps parts and shards independent.
-MAX_SHARDS = 1024
 
 JOB_PREFIX = "job:"
 CANCEL_PREFIX = "cancel:"
+LOAN_PREFIX = "loan:"
 
 
-def shard_of(job: str, shards: int) -> str:
-    """Returns the shard that a job belongs to."""
-    return f"s{zlib.crc32(job.encode()) % shards}"
+def shard_name(number: int) -> str:
+    """Returns the name of a shard."""
+    return f"s{number}"
 
 
-def shard_names(shards: int) -> list[str]:
-    """Returns all shards."""
-    return [f"s{number}" for number in range(shards)]
+# Decides for new racks; the only shard until there are many workers.
+FIRST_SHARD = shard_name(0)
 
 
-def inbox_parts(shard: str) -> list[str]:
-    """Returns the parts in which a shard's jobs are handed in.
+def inbox_parts() -> list[str]:
+    """Returns the parts in which jobs are handed in, whatever their shard.
 
     Changes of one part are made one after the other, so that callers of a slow
-    store would wait for each other, and the owner for them.
+    store would wait for each other, and the owners for them.
     """
-    return [f"{shard}-{number:02}" for number in range(INBOX_PARTS)]
+    return [f"{number:02}" for number in range(INBOX_PARTS)]
 
 
-def _inbox_part(shard: str, job_id: str) -> str:
-    number = zlib.crc32(job_id.encode()) // MAX_SHARDS % INBOX_PARTS
-    return f"{shard}-{number:02}"
+def _inbox_part(job_id: str) -> str:
+    return f"{zlib.crc32(job_id.encode()) % INBOX_PARTS:02}"
 
 
-def shard_of_inbox(part: str) -> str:
-    """Returns the shard that a part of the inbox belongs to."""
-    return part.partition("-")[0]
-
-
-def job(shard: str, job_id: str) -> row_store.RowRef:
+def job(job_id: str) -> row_store.RowRef:
     """Names the row of a job as it was handed in."""
-    part = _inbox_part(shard, job_id)
-    return row_store.RowRef(INBOX_TABLE, part, JOB_PREFIX + job_id)
+    return row_store.RowRef(
+        INBOX_TABLE, _inbox_part(job_id), JOB_PREFIX + job_id
+    )
 
 
-def cancel(shard: str, job_id: str) -> row_store.RowRef:
+def cancel(job_id: str) -> row_store.RowRef:
     """Names the row that tells of a job's cancelling."""
-    part = _inbox_part(shard, job_id)
-    return row_store.RowRef(INBOX_TABLE, part, CANCEL_PREFIX + job_id)
+    return row_store.RowRef(
+        INBOX_TABLE, _inbox_part(job_id), CANCEL_PREFIX + job_id
+    )
+
+
+def loan(job_id: str, from_shard: str, to_shard: str) -> row_store.RowRef:
+    """Names the row of a job's tasks that one shard lends to another."""
+    return row_store.RowRef(
+        INBOX_TABLE,
+        _inbox_part(job_id),
+        f"{LOAN_PREFIX}{job_id}:{from_shard}:{to_shard}",
+    )
+
+
+def layout() -> row_store.RowRef:
+    """Names the row of how workers are split into shards."""
+    return row_store.RowRef(OWNERS_TABLE, "", "layout")
 
 
 def progress(shard: str, job_id: str) -> row_store.RowRef:
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/settings.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/settings.py
@@ -12,7 +12,6 @@
     Attributes:
       node: Name of this VM.
       boot: Differs with each life of the process.
-      shards: Parts that jobs and workers are split into.
       lease_ms: How long a worker goes on without hearing from its owner.
         Longer than it takes another VM to take over.
       state_kept_s: How long the state of an ended job can be asked for.
@@ -23,7 +22,6 @@
     node: str
     boot: str
     data_centre: str
-    shards: int
     lease_ms: int
     state_kept_s: float
     stop_within_s: float
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/shard_feeds.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/shard_feeds.py
@@ -10,7 +10,15 @@
 from wisterialug_daemon.workflow import clock, errors, records, shard_store
 
 if TYPE_CHECKING:
-    from wisterialug_daemon.workflow import owner, row_store, sources
+    from collections.abc import Iterable
+
+    from wisterialug_core.workflow import model
+    from wisterialug_daemon.workflow import (
+        layout_keeper,
+        owner,
+        row_store,
+        sources,
+    )
 
 # A connection may go silent, and cancels must be heard within three seconds.
 WATCH_WAIT_S = 1.0
@@ -32,9 +40,15 @@
         owner: owner.ShardOwner,
         store: row_store.RowStore,
         registry: sources.WorkerRegistry,
+        keeper: layout_keeper.LayoutKeeper,
     ) -> None:
         self.inbox_cursor = 0
         self.registry_seen = False
+        self._keeper = keeper
+        # All listed workers, of any shard.
+        self._listed: dict[str, model.WorkerReport] = {}
+        # Those whose rack has no shard yet.
+        self._unplaced: set[str] = set()
         self._owner = owner
         self._store = store
         self._registry = registry
@@ -59,27 +73,30 @@
                 continue
             cursor = outcome.ok_value.cursor
             self._apply_workers(outcome.ok_value)
+            if self._unplaced and self._owner.rows.shard == records.FIRST_SHARD:
+                self._place_racks()
             eventlet.sleep(REGISTRY_SPACING_S)
 
+    def _place_racks(self) -> None:
+        if self._keeper.extend(self._listed.values()):
+            self.note_layout()
+
+    def note_layout(self) -> None:
+        """Takes in workers whose rack has got this shard."""
+        self._apply_reports([self._listed[w] for w in self._unplaced])
+
     def _apply_workers(self, changes: sources.WorkerChanges) -> None:
-        for report in changes.reports:
-            known = self._owner.roster.workers.get(report.id)
-            if known is None or known.report.state is not report.state:
-                logs.event(
-                    "worker-state",
-                    worker=report.id,
-                    state=report.state.value,
-                    address=report.address,
-                    rack=report.labels[-1] if report.labels else "",
-                )
-                self._owner.wake()
-            worker = self._owner.roster.update(report)
-            self._owner.session(worker)
+        if changes.whole:
+            self._listed.clear()
+            self._unplaced.clear()
+        self._apply_reports(changes.reports)
         removed = set(changes.removed)
         if changes.whole:
             present = {report.id for report in changes.reports}
             removed |= set(self._owner.roster.workers) - present
         for worker_id in removed:
+            self._listed.pop(worker_id, None)
+            self._unplaced.discard(worker_id)
             if worker_id in self._owner.roster.workers:
                 logs.event("worker-state", worker=worker_id, state="absent")
                 self._owner.roster.note_absent(worker_id)
@@ -88,6 +105,29 @@
             for worker in list(self._owner.roster.workers.values()):
                 self._owner.session(worker)
 
+    def _apply_reports(self, reports: Iterable[model.WorkerReport]) -> None:
+        for report in reports:
+            shard = self._keeper.layout.shard_of(report)
+            self._listed[report.id] = report
+            if shard is None:
+                self._unplaced.add(report.id)
+                continue
+            self._unplaced.discard(report.id)
+            if records.shard_name(shard) != self._owner.rows.shard:
+                continue
+            known = self._owner.roster.workers.get(report.id)
+            if known is None or known.report.state is not report.state:
+                logs.event(
+                    "worker-state",
+                    worker=report.id,
+                    state=report.state.value,
+                    address=report.address,
+                    rack=report.rack,
+                )
+                self._owner.wake()
+            worker = self._owner.roster.update(report)
+            self._owner.session(worker)
+
     def _watch_inbox(self) -> None:
         while not self._owner.lost:
             outcome = self._store.watch(
@@ -99,29 +139,32 @@
                 eventlet.sleep(RETRY_S)
                 continue
             self.inbox_cursor = outcome.ok_value.version
-            rows = [
-                row
-                for row in outcome.ok_value.rows
-                if records.shard_of_inbox(row.ref.part)
-                == self._owner.rows.shard
-            ]
-            self._apply_inbox(rows)
+            self._apply_inbox(outcome.ok_value.rows)
 
     def _reload_inbox(self) -> None:
         """Reads the whole inbox; what is in the book already stays."""
         loaded = self._owner.rows.load_inbox()
         if loaded.is_ok():
             self.inbox_cursor = loaded.ok_value.version
-            self._apply_inbox(list(loaded.ok_value.rows))
+            self._apply_inbox(loaded.ok_value.rows)
 
-    def _apply_inbox(self, rows: list[row_store.Row]) -> None:
-        jobs, cancelled = shard_store.read_inbox(rows)
-        for job in jobs:
+    def _apply_inbox(self, rows: Iterable[row_store.Row]) -> None:
+        inbox = shard_store.read_inbox(rows, self._owner.rows.shard)
+        for job in inbox.jobs:
             self._owner.book.add(job)
-        for job in cancelled:
+        for loan in inbox.loans:
+            if self._owner.book.borrow(loan):
+                logs.event(
+                    "tasks-borrowed",
+                    job=loan.job.id,
+                    shard=loan.to_shard,
+                    of=loan.from_shard,
+                    tasks=len(loan.tasks),
+                )
+        for job in inbox.cancelled:
             if self._owner.book.cancel(job, clock.wall_ms()):
                 logs.event(
                     "job-cancelled", job=job, shard=self._owner.rows.shard
                 )
-        if jobs or cancelled:
+        if inbox.jobs or inbox.loans or inbox.cancelled:
             self._owner.wake()
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/shard_store.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/shard_store.py
@@ -33,6 +33,21 @@
     """Reports that another process owns the shard now."""
 
 
+@dataclasses.dataclass
+class Inbox:
+    """What rows of the inbox tell a shard.
+
+    Attributes:
+      jobs: Its new jobs.
+      loans: Tasks of other shards' jobs that it is to run.
+      cancelled: Ids of cancelled jobs, of any shard.
+    """
+
+    jobs: list[workflow_pb2.Job]
+    loans: list[workflow_pb2.Loan]
+    cancelled: list[str]
+
+
 @dataclasses.dataclass
 class ShardContent:
     """All rows of a shard at its takeover.
@@ -41,8 +56,7 @@
       cursor: Version from which the inbox is watched.
     """
 
-    jobs: list[workflow_pb2.Job]
-    cancelled: list[str]
+    inbox: Inbox
     progress: dict[str, workflow_pb2.Progress]
     cursor: int
     effects: workflow_pb2.Effects
@@ -95,11 +109,9 @@
         )
         if progress.is_err():
             return progress
-        jobs, cancelled = read_inbox(inbox.ok_value.rows)
         return result.Ok(
             ShardContent(
-                jobs,
-                cancelled,
+                read_inbox(inbox.ok_value.rows, self.shard),
                 {
                     row.ref.key: workflow_pb2.Progress.FromString(row.value)
                     for row in progress.ok_value.rows
@@ -120,7 +132,7 @@
             lambda name: row_store.scan_all(
                 self._store, records.INBOX_TABLE, name, SCAN_TIMEOUT_S
             ),
-            records.inbox_parts(self.shard),
+            records.inbox_parts(),
         ):
             if part.is_err():
                 return part
@@ -219,15 +231,19 @@
             )
 
 
-def read_inbox(
-    rows: Iterable[row_store.Row],
-) -> tuple[list[workflow_pb2.Job], list[str]]:
-    """Returns the jobs and the cancelled jobs' ids among rows of the inbox."""
-    jobs = []
-    cancelled = []
+def read_inbox(rows: Iterable[row_store.Row], shard: str) -> Inbox:
+    """Returns what rows of the inbox tell a shard."""
+    inbox = Inbox([], [], [])
     for row in rows:
-        if row.ref.key.startswith(records.JOB_PREFIX):
-            jobs.append(workflow_pb2.Job.FromString(row.value))
-        elif row.ref.key.startswith(records.CANCEL_PREFIX):
-            cancelled.append(row.ref.key.removeprefix(records.CANCEL_PREFIX))
-    return jobs, cancelled
+        key = row.ref.key
+        if key.startswith(records.JOB_PREFIX):
+            job = workflow_pb2.Job.FromString(row.value)
+            if job.shard == shard:
+                inbox.jobs.append(job)
+        elif key.startswith(records.LOAN_PREFIX):
+            loan = workflow_pb2.Loan.FromString(row.value)
+            if loan.to_shard == shard:
+                inbox.loans.append(loan)
+        elif key.startswith(records.CANCEL_PREFIX):
+            inbox.cancelled.append(key.removeprefix(records.CANCEL_PREFIX))
+    return inbox
--- a/packages/wisterialug-standins/src/wisterialug_standins/emulated_workers.py
+++ b/packages/wisterialug-standins/src/wisterialug_standins/emulated_workers.py
@@ -98,17 +98,23 @@
         """Stops all runs."""
         self._thread.kill()
 
-    def add(self, name: str, cpu_millicores: int = 16_000) -> EmulatedWorker:
+    def add(
+        self,
+        name: str,
+        cpu_millicores: int = 16_000,
+        rack: str = "r1",
+        data_centre: str = "dc1",
+    ) -> EmulatedWorker:
         """Adds a worker to the list."""
         worker = EmulatedWorker(
             model.WorkerReport(
                 id=model.WorkerId(name),
                 address=f"{name}:1",
                 service="app",
-                data_centre="dc1",
+                data_centre=data_centre,
                 state=model.WorkerState.READY,
                 capacity=resources.Amount(cpu_millicores, 64_000, 0),
-                labels=("a", "r1"),
+                labels=("a", rack),
                 remaining_ms=0,
             )
         )
--- a/packages/wisterialug-standins/src/wisterialug_standins/workflow_demo.py
+++ b/packages/wisterialug-standins/src/wisterialug_standins/workflow_demo.py
@@ -52,14 +52,13 @@
             node=name,
             boot="1",
             data_centre="dc1",
-            shards=1,
             lease_ms=LEASE_MS,
             state_kept_s=60.0,
             stop_within_s=5.0,
         )
         self.name = name
         self.election = election.Election(cfg, store, fleet, fleet)
-        self.intake = intake.Intake(cfg, store, self.election)
+        self.intake = intake.Intake(store, self.election)
         self.election.start()
 
 
--- /dev/null
+++ b/tests/test_daemon/test_layout_keeper.py
@@ -0,0 +1,71 @@
+"""Tests of the keeper of the split of workers into shards."""
+
+import random
+
+import eventlet
+import testtools
+
+from tests.test_core.test_workflow import test_layouts
+from wisterialug_daemon.workflow import layout_keeper, records
+from wisterialug_standins import memory_store
+
+
+class LayoutKeeperTest(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.store = memory_store.MemoryStore(random.Random(1))
+        self.keeper = layout_keeper.LayoutKeeper(self.store)
+        self.reports = test_layouts.fleet(360)
+
+    def settle(self, keeper, reports):
+        keeper.extend(reports)
+        eventlet.sleep(layout_keeper.SETTLE_S + 0.1)
+        return keeper.extend(reports)
+
+    def test_fleet_that_registers_bit_by_bit_is_split_by_its_full_size(self):
+        shuffled = list(self.reports)
+        random.Random(2).shuffle(shuffled)
+        for count in range(40, 361, 40):
+            self.assertFalse(self.keeper.extend(shuffled[:count]))
+            eventlet.sleep(0.15)
+        eventlet.sleep(layout_keeper.SETTLE_S)
+        self.assertTrue(self.keeper.extend(shuffled))
+        self.assertEqual(4, self.keeper.layout.shards)
+
+    def test_list_that_never_settles_is_split_all_the_same(self):
+        count = 10
+        placed = False
+        pause_s = layout_keeper.SETTLE_S / 2
+        for _ in range(int(layout_keeper.MAX_SETTLE_S / pause_s) + 2):
+            placed = placed or self.keeper.extend(self.reports[:count])
+            count += 10
+            eventlet.sleep(pause_s)
+        self.assertTrue(placed)
+
+    def test_two_keepers_at_once_agree(self):
+        other = layout_keeper.LayoutKeeper(self.store)
+        other.extend(self.reports[:100])
+        self.assertTrue(self.settle(self.keeper, self.reports))
+        # The other one has not heard of that and must not undo it.
+        self.assertFalse(other.extend(self.reports[:100]))
+        row = self.row()
+        self.assertTrue(other.note(row))
+        for worker in self.reports:
+            self.assertEqual(
+                self.keeper.layout.shard_of(worker),
+                other.layout.shard_of(worker),
+            )
+
+    def test_unreadable_and_old_rows_change_nothing(self):
+        self.settle(self.keeper, self.reports)
+        row = self.row()
+        before = self.keeper.layout
+        self.assertFalse(self.keeper.note(row))
+        broken = row._replace(version=row.version + 1, value=b"\xff")
+        self.assertFalse(self.keeper.note(broken))
+        self.assertIs(before, self.keeper.layout)
+
+    def row(self):
+        ref = records.layout()
+        read = self.store.scan(ref.table, ref.part, timeout_s=1.0)
+        return read.ok_value.rows[0]
--- a/tests/test_daemon/test_workflow_intake.py
+++ b/tests/test_daemon/test_workflow_intake.py
@@ -8,7 +8,13 @@
 
 from tests.test_daemon import workflow_base
 from wisterialug_core.schema import workflow_pb2
-from wisterialug_daemon.workflow import clock, errors, intake, settings
+from wisterialug_daemon.workflow import (
+    clock,
+    election,
+    errors,
+    intake,
+    settings,
+)
 from wisterialug_standins import memory_store
 
 step = workflow_base.step
@@ -41,12 +47,12 @@
             node="n",
             boot="1",
             data_centre="d",
-            shards=1,
             lease_ms=4000,
             state_kept_s=60,
             stop_within_s=5,
         )
-        self.intake = intake.Intake(cfg, self.store, None)
+        owners = election.Election(cfg, self.store, None, None)
+        self.intake = intake.Intake(self.store, owners)
 
     def submit(self, budget_s=3.0):
         job = workflow_pb2.Job(id="0" * 16, steps=[step(1)])
--- a/tests/test_daemon/workflow_base.py
+++ b/tests/test_daemon/workflow_base.py
@@ -29,13 +29,12 @@
             node=name,
             boot=boot,
             data_centre="dc1",
-            shards=1,
             lease_ms=4000,
             state_kept_s=60,
             stop_within_s=5,
         )
         self.election = election.Election(cfg, store, fleet, fleet)
-        self.intake = intake.Intake(cfg, store, self.election)
+        self.intake = intake.Intake(store, self.election)
         self.election.start()
 
 
