Sheets with a byte-order mark or semicolons are read; tokens are never shown

Cause: spreadsheet programs save both, and the header was refused; a token file with a line break was printed whole by the HTTP library's error. Now both forms are taken and named; a token file that holds anything but one printable word gives an error with the file's name only.

--- a/packages/wisterialug-cli/src/wisterialug_cli/client.py
+++ b/packages/wisterialug-cli/src/wisterialug_cli/client.py
@@ -27,9 +27,8 @@
     def __init__(self, cfg: settings_pb2.ClientSettings) -> None:
         self._cfg = cfg
         self._pool = urllib3.PoolManager(num_pools=1, retries=False)
-        token = pathlib.Path(cfg.token_file).read_text().strip()
         self._headers = {
-            "Authorization": f"Bearer {token}",
+            "Authorization": f"Bearer {_read_token(cfg.token_file)}",
             "Content-Type": "application/json",
         }
 
@@ -70,3 +69,24 @@
             answer.get("title", f"HTTP status {resp.status}"),
             answer.get("details", []),
         )
+
+
+def _read_token(name: str) -> str:
+    """Reads the operators' token; errors name the file, never what it holds."""
+    try:
+        token = pathlib.Path(name).read_text(encoding="ascii").strip()
+    except OSError as exc:
+        raise errors.CliError(
+            errors.ExitCode.USAGE,
+            f"the token file {name} can't be read",
+            [exc.strerror or type(exc).__name__],
+        ) from None
+    except UnicodeDecodeError:
+        token = ""
+    if not token or not token.isprintable() or " " in token:
+        raise errors.CliError(
+            errors.ExitCode.USAGE,
+            f"the token file {name} must hold one word",
+            ["printable ASCII characters, without spaces or line breaks"],
+        )
+    return token
--- a/packages/wisterialug-cli/src/wisterialug_cli/table_commands.py
+++ b/packages/wisterialug-cli/src/wisterialug_cli/table_commands.py
@@ -120,6 +120,11 @@
     server: client.Client, args: argparse.Namespace
 ) -> list[config_pb2.CellChange]:
     edited = _sheet(_read(args.file))
+    if edited.notes:
+        print(
+            f"wisterialug: {args.file} has {' and '.join(edited.notes)}",
+            file=sys.stderr,
+        )
     base_file = args.base or args.file + BASE_SUFFIX
     if args.base or pathlib.Path(base_file).exists():
         base = _sheet(_read(base_file))
@@ -130,7 +135,7 @@
 
 def _read(name: str) -> str:
     try:
-        return pathlib.Path(name).read_text()
+        return pathlib.Path(name).read_text(encoding="utf-8")
     except (OSError, UnicodeDecodeError) as exc:
         raise errors.CliError(
             errors.ExitCode.USAGE, f"{name} can't be read", [str(exc)]
--- a/packages/wisterialug-core/src/wisterialug_core/decisions/limits_sheet.py
+++ b/packages/wisterialug-core/src/wisterialug_core/decisions/limits_sheet.py
@@ -31,14 +31,21 @@
     "accelerators": (0, 100_000),
     "latency_target_ms": (1, 600_000),
 }
+BYTE_ORDER_MARK = "\ufeff"
 COLUMNS = KEY_COLUMNS + tuple(CELL_BOUNDS)
 
 
 @dataclasses.dataclass(frozen=True)
 class Sheet:
-    """Rows of a sheet by key; each maps a column to its text."""
+    """A sheet as it was read.
+
+    Attributes:
+      rows: Rows by key; each maps a column to its text.
+      notes: In what the text differs from an exported sheet.
+    """
 
     rows: dict[ids.RowKey, dict[str, str]]
+    notes: tuple[str, ...] = ()
 
 
 def export(rows: Iterable[config_pb2.LimitRow]) -> str:
@@ -55,8 +62,20 @@
 
 
 def parse(text: str) -> result.Result[Sheet, list[errors.CellError]]:
-    """Reads a CSV sheet; the error lists all invalid cells at once."""
-    reader = csv.DictReader(io.StringIO(text))
+    """Reads a CSV sheet; the error lists all invalid cells at once.
+
+    Spreadsheet programs save with a byte-order mark, or with semicolons where
+    the comma is the decimal sign; both are taken.
+    """
+    notes = []
+    if text.startswith(BYTE_ORDER_MARK):
+        text = text.removeprefix(BYTE_ORDER_MARK)
+        notes.append("a byte-order mark")
+    delimiter = ","
+    if ";" in text.partition("\n")[0]:
+        delimiter = ";"
+        notes.append("semicolons between cells")
+    reader = csv.DictReader(io.StringIO(text), delimiter=delimiter)
     header = tuple(reader.fieldnames or ())
     unknown = [name for name in header if name not in COLUMNS]
     missing = [name for name in KEY_COLUMNS if name not in header]
@@ -85,7 +104,9 @@
                 )
             )
         rows[key] = cells
-    return result.Err(faults) if faults else result.Ok(Sheet(rows))
+    return (
+        result.Err(faults) if faults else result.Ok(Sheet(rows, tuple(notes)))
+    )
 
 
 def check_cells(row: str, cells: Mapping[str, str]) -> list[errors.CellError]:
--- a/tests/test_core/test_limits_sheet.py
+++ b/tests/test_core/test_limits_sheet.py
@@ -41,6 +41,18 @@
                 (faults[0].row, faults[0].column, faults[0].value),
             )
 
+    def test_sheets_as_spreadsheet_programs_save_them(self):
+        plain = limits_sheet.parse(GOOD).ok_value
+        self.assertEqual((), plain.notes)
+        for text, notes in (
+            ("\ufeff" + GOOD, 1),
+            (GOOD.replace(",", ";"), 1),
+            ("\ufeff" + GOOD.replace(",", ";").replace("\n", "\r\n"), 2),
+        ):
+            sheet = limits_sheet.parse(text).ok_value
+            self.assertEqual(plain.rows, sheet.rows)
+            self.assertEqual(notes, len(sheet.notes))
+
     def test_unknown_column_and_doubled_row(self):
         self.assertTrue(limits_sheet.parse("customer,wait\n").is_err())
         doubled = GOOD + "siam,customer,siam,1,\n"
