--- /dev/null
+++ b/tests/test_standins/test_order_experiment.py
@@ -0,0 +1,35 @@
+"""Tests of the experiment that compares orders of waiting tasks."""
+
+import random
+
+import testtools
+
+from wisterialug_standins import order_experiment
+
+USER = order_experiment.User("small", 8, 8000, order_experiment.USERS[0].kinds)
+
+
+class OrderExperimentTest(testtools.TestCase):
+    def worth(self, way, load):
+        """Returns the mean worth over some seeds."""
+        rows = [
+            order_experiment.measure(USER, load, 30.0, way, seed)
+            for seed in range(4)
+        ]
+        return sum(row["worth"] for row in rows) / len(rows)
+
+    def test_backlog_after_a_burst(self):
+        # Replays full load with a burst of 3.5 times for 7 s.
+        built = self.worth("as built", 1.0)
+        self.assertGreater(built, self.worth("by latest start", 1.0))
+        self.assertGreater(built, self.worth("by arrival", 1.0))
+
+    def test_nothing_is_lost_at_low_load(self):
+        self.assertGreater(self.worth("as built", 0.3), 0.9)
+
+    def test_same_arrivals_for_each_way(self):
+        drawn = [
+            order_experiment.draw(USER, 0.5, 10.0, random.Random(3))
+            for _ in range(2)
+        ]
+        self.assertEqual(*[[a.job for a in arrivals] for arrivals in drawn])
