A server that closes first serves the connections that wait already

Cause: closing the listening socket resets connections that the kernel has accepted and the loop has not.

--- a/packages/wisterialug-daemon/src/wisterialug_daemon/http/server.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/http/server.py
@@ -4,10 +4,12 @@
 
 import contextlib
 import json
+import time
 from typing import TYPE_CHECKING
 
 import eventlet
 import eventlet.greenthread
+import eventlet.patcher
 import eventlet.wsgi
 
 if TYPE_CHECKING:
@@ -15,10 +17,16 @@
 
     StartResponse = Callable[[str, list[tuple[str, str]]], object]
 
+# The module as it is without eventlet: asks once and does not wait.
+_select = eventlet.patcher.original("select")
+
 BACKLOG = 512
 MAX_CONNECTIONS = 4096
 KEEPALIVE_S = 75.0
-
+# How long a server that closes goes on accepting connections that wait already,
+# and gives them to begin with a request that has arrived.
+ACCEPT_WAITING_S = 0.5
+BEGIN_S = 0.05
 
 _REASONS = {
     200: "OK",
@@ -71,12 +79,22 @@
             debug=False,
         )
 
+    @property
+    def port(self) -> int:
+        """Returns the port that the server listens on."""
+        return self._socket.getsockname()[1]
+
     def end_keepalive(self) -> None:
         """Closes each connection after its next answer."""
         self._started.wait().keepalive = False
 
     def close(self, timeout_s: float = 0.0) -> None:
-        """Stops accepting, then waits for requests in flight."""
+        """Stops accepting, then waits for requests in flight.
+
+        Connections that wait to be accepted have callers behind them that were
+        sent here before the balancer knew; closing would reset them.
+        """
+        self._accept_waiting()
         # No greenlet may wait on a socket that is closed.
         eventlet.greenthread.kill(self._thread)
         self._socket.close()
@@ -84,6 +102,17 @@
             with eventlet.Timeout(max(0.01, timeout_s)):
                 self._pool.waitall()
 
+    def _accept_waiting(self) -> None:
+        poll = _select.poll()
+        poll.register(self._socket.fileno(), _select.POLLIN)
+        until_s = time.monotonic() + ACCEPT_WAITING_S
+        accepted = False
+        while poll.poll(0) and time.monotonic() < until_s:
+            accepted = True
+            eventlet.sleep(0)
+        if accepted:
+            eventlet.sleep(BEGIN_S)
+
 
 def status_line(status: int) -> str:
     """Returns a status with its reason phrase."""
