wisterialug trace-log tells a job's story and its cause from log files

Cause: on-call engineers put lines of several processes in order by hand and drew the conclusion themselves. The command orders them, adds what happened to the job's workers, its shard and its VM, and names what cost the most time.

--- a/packages/wisterialug-cli/src/wisterialug_cli/__main__.py
+++ b/packages/wisterialug-cli/src/wisterialug_cli/__main__.py
@@ -10,6 +10,7 @@
 from wisterialug_cli import (
     client,
     errors,
+    log_commands,
     output,
     table_commands,
     work_commands,
@@ -18,7 +19,7 @@
 from wisterialug_core.schema import settings_pb2
 
 if TYPE_CHECKING:
-    from collections.abc import Mapping, Sequence
+    from collections.abc import Callable, Mapping, Sequence
 
 
 def build_parser() -> argparse.ArgumentParser:
@@ -31,20 +32,28 @@
     commands = parser.add_subparsers(dest="command", required=True)
     table_commands.add_parsers(commands)
     work_commands.add_parsers(commands)
+    log_commands.add_parsers(commands)
     return parser
 
 
 def run(argv: Sequence[str], env: Mapping[str, str]) -> int:
     """Runs one command; returns the exit code."""
     args = build_parser().parse_args(argv)
+    if "run_locally" in args:
+        return _answer(args, lambda: args.run_locally(args))
     table = settings.SettingsTable(settings_pb2.ClientSettings)
     cfg = table.read(args, env)
     if cfg.is_err():
         for fault in cfg.err_value:
             print(f"wisterialug: {fault}", file=sys.stderr)
         return errors.ExitCode.USAGE
+    return _answer(args, lambda: args.run(client.Client(cfg.ok_value), args))
+
+
+def _answer(args: argparse.Namespace, command: Callable[[], object]) -> int:
+    """Shows what a command returns; returns the exit code."""
     try:
-        answer = args.run(client.Client(cfg.ok_value), args)
+        answer = command()
     except errors.CliError as exc:
         print(f"wisterialug: {exc.title}", file=sys.stderr)
         for detail in exc.details:
--- /dev/null
+++ b/packages/wisterialug-cli/src/wisterialug_cli/trace_log.py
@@ -0,0 +1,266 @@
+"""One job's story from the log lines of several processes, and its cause."""
+
+from __future__ import annotations
+
+import dataclasses
+import datetime
+import enum
+import json
+from typing import TYPE_CHECKING, Any
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Iterator
+
+TIME_FORMAT = "%Y-%m-%d %H:%M:%S,%f"
+# Delays below this are not told apart from the usual time of a start.
+LEAST_DELAY_S = 0.25
+# Events of workers and shards that matter to the jobs that they hold.
+_WORKER_EVENTS = frozenset(
+    {
+        "worker-silent",
+        "worker-answers-again",
+        "worker-state",
+        "worker-set-aside",
+    }
+)
+_SHARD_EVENTS = frozenset(
+    {
+        "shard-taken",
+        "shard-loaded",
+        "shard-lost",
+        "shard-given-up",
+        "shard-change-retried",
+        "shard-change-done",
+    }
+)
+_VM_EVENTS = frozenset({"store-lost", "store-regained"})
+
+
+class Cause(enum.Enum):
+    """Why a job was not done in time."""
+
+    NONE = "done in time"
+    UNKNOWN_JOB = "no line tells of it"
+    INVALID = "the job was invalid"
+    REFUSED = "refused; it did not run"
+    NO_ANSWER = "the store gave no answer; it may have been accepted"
+    CANCELLED = "cancelled by its caller"
+    TASK_FAULT = "a task failed as often as it may"
+    WORKER_FAULT = "workers that fail what they start"
+    WORKER_LOST = "a worker was lost with its runs"
+    RETRIED = "runs failed and were started again"
+    SLOWED = "fill work was slowed or moved to spare its neighbours"
+    TAKEOVER = "its shard had no owner for a while"
+    STORE_AWAY = "the store did not take the owner's changes"
+    WAITED = "it waited for room"
+    LONG = "its tasks took longer than declared"
+    OPEN = "it has not ended"
+
+
+# What a run's end, by its name in the lines, says of a late job.
+_RUN_CAUSES = {
+    "lost": Cause.WORKER_LOST,
+    "lapsed": Cause.WORKER_LOST,
+    "broken": Cause.WORKER_LOST,
+    "alone": Cause.WORKER_LOST,
+    "failed": Cause.RETRIED,
+    "stopped": Cause.SLOWED,
+}
+
+
+@dataclasses.dataclass(frozen=True)
+class Event:
+    """One log line.
+
+    Attributes:
+      time_s: In seconds since 1970.
+      source: Process that wrote it, by the name of its file.
+    """
+
+    time_s: float
+    source: str
+    name: str
+    fields: dict[str, Any]
+
+
+@dataclasses.dataclass(frozen=True)
+class Story:
+    """A job's events in order, and why it was late or failed."""
+
+    events: list[Event]
+    cause: Cause
+    detail: str
+
+
+def read_lines(lines: Iterable[str], source: str) -> Iterator[Event]:
+    """Yields the events of a process; what is no log line is left out."""
+    for line in lines:
+        start = line.find("{")
+        if start < 0:
+            continue
+        try:
+            fields = json.loads(line[start:])
+            when = datetime.datetime.strptime(
+                fields.pop("time"), TIME_FORMAT
+            ).replace(tzinfo=datetime.UTC)
+            name = fields.pop("event")
+        except (ValueError, KeyError, TypeError):
+            # Lines of libraries and summaries have no time or event.
+            continue
+        yield Event(when.timestamp(), source, name, fields)
+
+
+def story(events: Iterable[Event], job: str) -> Story:
+    """Returns the story of a job."""
+    everything = sorted(events, key=lambda event: event.time_s)
+    own = [e for e in everything if _job_of(e) == job]
+    if not own:
+        return Story([], Cause.UNKNOWN_JOB, "")
+    beside = list(_beside(everything, own))
+    cause, detail = _cause(own, beside)
+    shown = sorted([*own, *beside], key=lambda event: event.time_s)
+    return Story(shown, cause, detail)
+
+
+def _job_of(event: Event) -> str:
+    task = event.fields.get("task")
+    if isinstance(task, str):
+        return task.partition(".")[0]
+    job = event.fields.get("job")
+    return job if isinstance(job, str) else ""
+
+
+def _beside(everything: list[Event], own: list[Event]) -> Iterator[Event]:
+    """Yields what happened meanwhile to the job's workers, shard and VM."""
+    begin_s, end_s = own[0].time_s, own[-1].time_s
+    workers = set()
+    shards = set()
+    entries = {e.source for e in own if e.name == "job-submitted"}
+    for event in own:
+        workers.update(event.fields.get("workers", ()))
+        workers.add(event.fields.get("worker"))
+        shards.update((event.fields.get("shard"), event.fields.get("to")))
+    open_end = not any(e.name == "job-ended" for e in own)
+    for event in everything:
+        if event.time_s < begin_s or (event.time_s > end_s and not open_end):
+            continue
+        if (
+            (event.name in _WORKER_EVENTS and event.fields["worker"] in workers)
+            or (event.name in _SHARD_EVENTS and event.fields["shard"] in shards)
+            or (event.name in _VM_EVENTS and event.source in entries)
+        ):
+            yield event
+
+
+def _cause(own: list[Event], beside: list[Event]) -> tuple[Cause, str]:
+    by_name: dict[str, list[Event]] = {}
+    for event in own:
+        by_name.setdefault(event.name, []).append(event)
+    submits = by_name.get("job-submitted", [])
+    accepted = [e for e in submits if e.fields.get("outcome") == "ok"]
+    ended = by_name.get("job-ended", [])
+    if "job-cancelled" in by_name or "job-cancel" in by_name:
+        return Cause.CANCELLED, _heard_by(by_name)
+    if not accepted and not ended and "tasks-placed" not in by_name:
+        if "job-invalid" in by_name:
+            return Cause.INVALID, str(
+                by_name["job-invalid"][-1].fields.get("error")
+            )
+        if not submits:
+            return Cause.UNKNOWN_JOB, ""
+        last = submits[-1].fields
+        refused = all(e.fields.get("outcome") == "refused" for e in submits)
+        cause = Cause.REFUSED if refused else Cause.NO_ANSWER
+        return cause, str(last.get("detail", ""))
+    if ended and ended[-1].fields["state"] == "JOB_FAILED":
+        return _failed(by_name, beside)
+    if ended:
+        fields = ended[-1].fields
+        if fields["took_ms"] <= fields["objective_ms"]:
+            return Cause.NONE, f"took {fields['took_ms']} ms"
+    cause, delay_s, detail = max(
+        _delays(by_name, beside), key=lambda found: found[1]
+    )
+    if delay_s < LEAST_DELAY_S:
+        cause = Cause.LONG if ended else Cause.OPEN
+        return cause, ""
+    return cause, f"{delay_s:.1f} s: {detail}"
+
+
+def _heard_by(by_name: dict[str, list[Event]]) -> str:
+    """Returns which processes heard of a cancel."""
+    names = ("job-cancel", "job-cancelled")
+    sources = {e.source for name in names for e in by_name.get(name, [])}
+    return ", ".join(sorted(sources))
+
+
+def _failed(
+    by_name: dict[str, list[Event]], beside: list[Event]
+) -> tuple[Cause, str]:
+    failed = [
+        e for e in by_name.get("run-ended", []) if e.fields["end"] == "failed"
+    ]
+    aside = {e.fields["worker"] for e in beside if e.name == "worker-set-aside"}
+    workers = {e.fields["worker"] for e in failed}
+    if workers and workers <= aside:
+        return Cause.WORKER_FAULT, ", ".join(sorted(workers))
+    tasks = {e.fields["task"] for e in failed}
+    return Cause.TASK_FAULT, ", ".join(sorted(tasks))
+
+
+def _delays(
+    by_name: dict[str, list[Event]], beside: list[Event]
+) -> Iterator[tuple[Cause, float, str]]:
+    """Yields each cause with the longest time that it cost."""
+    yield from _ended_runs(by_name)
+    away_s = 0.0
+    for event in beside:
+        if event.name == "shard-taken":
+            silent_s = float(event.fields["silent_s"])
+            away_s = max(away_s, silent_s)
+            detail = f"{event.source} took {event.fields['shard']}"
+            yield Cause.TAKEOVER, silent_s, detail
+        elif event.name == "shard-change-done":
+            after_s = float(event.fields["after_s"])
+            yield Cause.STORE_AWAY, after_s, event.source
+    # Nothing is placed while a shard has no owner.
+    waited_s = _waited_s(by_name) - away_s
+    yield Cause.WAITED, waited_s, "from its turn to its last start"
+
+
+def _ended_runs(
+    by_name: dict[str, list[Event]],
+) -> Iterator[tuple[Cause, float, str]]:
+    """Yields what runs cost that ended before they were done."""
+    begun_s: dict[str, float] = {}
+    for event in by_name.get("tasks-placed", []):
+        for task in event.fields["tasks"]:
+            begun_s.setdefault(f"{event.fields['step']}.{task}", event.time_s)
+    for event in by_name.get("run-ended", []):
+        task = event.fields["task"]
+        number = ".".join(task.split(".")[2:])
+        cost_s = event.time_s - begun_s.get(number, event.time_s)
+        cause = _RUN_CAUSES.get(event.fields["end"])
+        if cause is not None:
+            yield cause, cost_s, f"{task} on {event.fields['worker']}"
+
+
+def _waited_s(by_name: dict[str, list[Event]]) -> float:
+    """Returns the longest wait of a task for its first start.
+
+    The first start of a step is taken for the moment of its turn, but for the
+    first step, whose turn came when the job was accepted.
+    """
+    submits = by_name.get("job-submitted", [])
+    turn_s: dict[int, float] = {}
+    started: set[tuple[int, int]] = set()
+    longest_s = 0.0
+    for event in by_name.get("tasks-placed", []):
+        step = event.fields["step"]
+        first = submits[0].time_s if submits and not turn_s else event.time_s
+        turn_s.setdefault(step, first)
+        new = {(step, task) for task in event.fields["tasks"]} - started
+        if new:
+            longest_s = max(longest_s, event.time_s - turn_s[step])
+        started |= new
+    return longest_s
