--- a/packages/wisterialug-daemon/src/wisterialug_daemon/http/server.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/http/server.py
@@ -94,7 +94,8 @@
         Connections that wait to be accepted have callers behind them that were
         sent here before the balancer knew; closing would reset them.
         """
-        self._accept_waiting()
+        if self._socket.fileno() >= 0:
+            self._accept_waiting()
         # No greenlet may wait on a socket that is closed.
         eventlet.greenthread.kill(self._thread)
         self._socket.close()
--- a/tests/test_daemon/test_http_server.py
+++ b/tests/test_daemon/test_http_server.py
@@ -48,5 +48,7 @@
         self.assertEqual(5, self.answered)
 
     def test_nothing_is_accepted_afterwards(self):
+        # A VM closes its server when it drains, and again when it ends.
         self.server.close(0.5)
+        self.server.close()
         self.assertRaises(ConnectionRefusedError, self.connect)
