--- a/packages/wisterialug-cli/src/wisterialug_cli/trace_log.py
+++ b/packages/wisterialug-cli/src/wisterialug_cli/trace_log.py
@@ -14,6 +14,7 @@
 TIME_FORMAT = "%Y-%m-%d %H:%M:%S,%f"
 # Delays below this are not told apart from the usual time of a start.
 LEAST_DELAY_S = 0.25
+FULL_PERCENT = 100
 # Events of workers and shards that matter to the jobs that they hold.
 _WORKER_EVENTS = frozenset(
     {
@@ -104,6 +105,7 @@
                 fields.pop("time"), TIME_FORMAT
             ).replace(tzinfo=datetime.UTC)
             name = fields.pop("event")
+            fields.pop("level", None)
         except (ValueError, KeyError, TypeError):
             # Lines of libraries and summaries have no time or event.
             continue
@@ -182,8 +184,10 @@
         _delays(by_name, beside), key=lambda found: found[1]
     )
     if delay_s < LEAST_DELAY_S:
-        cause = Cause.LONG if ended else Cause.OPEN
-        return cause, ""
+        paced = by_name.get("fill-pace", [])
+        if any(event.fields["percent"] < FULL_PERCENT for event in paced):
+            return Cause.SLOWED, f"{len(paced)} changes of pace"
+        return (Cause.LONG if ended else Cause.OPEN), ""
     return cause, f"{delay_s:.1f} s: {detail}"
 
 
@@ -233,10 +237,12 @@
 ) -> Iterator[tuple[Cause, float, str]]:
     """Yields what runs cost that ended before they were done."""
     begun_s: dict[str, float] = {}
-    for event in by_name.get("tasks-placed", []):
-        for task in event.fields["tasks"]:
-            begun_s.setdefault(f"{event.fields['step']}.{task}", event.time_s)
-    for event in by_name.get("run-ended", []):
+    events = by_name.get("tasks-placed", []) + by_name.get("run-ended", [])
+    for event in sorted(events, key=lambda event: event.time_s):
+        if event.name == "tasks-placed":
+            for index in event.fields["tasks"]:
+                begun_s[f"{event.fields['step']}.{index}"] = event.time_s
+            continue
         task = event.fields["task"]
         number = ".".join(task.split(".")[2:])
         cost_s = event.time_s - begun_s.get(number, event.time_s)
--- a/tests/test_cli/test_trace_log.py
+++ b/tests/test_cli/test_trace_log.py
@@ -124,6 +124,26 @@
         for cause, lines in cases.items():
             self.assertIs(cause, self.cause(*lines))
 
+    def test_cost_of_a_run_counts_from_its_own_start(self):
+        # Seen on a played day: a run that was moved at 9 s and lost soon after.
+        lines = (
+            submitted(1),
+            placed(1.05, 0),
+            run_ended(9, "stopped"),
+            placed(9.1, 0),
+            run_ended(11, "lost"),
+            placed(11.1, 0),
+            ended(12, 11_000),
+        )
+        self.assertIs(trace_log.Cause.SLOWED, self.cause(*lines))
+
+    def test_run_that_was_slowed(self):
+        lines = submitted(1), placed(1.05, 0), ended(4, 3000)
+        pace = line(2, "fill-pace", task=f"{JOB}.0.0.0", percent=20)
+        self.assertIs(trace_log.Cause.SLOWED, self.cause(*lines, pace))
+        pace = line(2, "fill-pace", task=f"{JOB}.0.0.0", percent=100)
+        self.assertIs(trace_log.Cause.LONG, self.cause(*lines, pace))
+
     def test_what_happened_to_others_is_left_out(self):
         lines = (
             submitted(1),
