--- a/packages/wisterialug-core/src/wisterialug_core/workflow/urgency.py
+++ b/packages/wisterialug-core/src/wisterialug_core/workflow/urgency.py
@@ -79,7 +79,7 @@
 ) -> tuple[int, int, int, float]:
     """Returns the key by which waiting groups are sorted, first ones first.
 
-    In a backlog, jobs that are small for their kind go before large ones, since
+    In a backlog, small jobs go before large ones of the same priority, since
     many of them can be on time for one that is not.
     """
     job = entry.job
