--- a/packages/wisterialug-standins/src/wisterialug_standins/order_experiment.py
+++ b/packages/wisterialug-standins/src/wisterialug_standins/order_experiment.py
@@ -318,9 +318,16 @@
     for kind in user.kinds:
         of_kind = [a.core_s for a in counted if a.kind is kind]
         mean_core_s[kind.name] = sum(of_kind) / max(1, len(of_kind))
+    large_core_s = {
+        kind.name: _quantile(
+            [a.core_s for a in counted if a.kind is kind], 1 - LARGEST
+        )
+        for kind in user.kinds
+    }
     earned: collections.Counter[str] = collections.Counter()
     owed: collections.Counter[str] = collections.Counter()
     large: list[bool] = []
+    served: list[bool] = []
     for arrival in counted:
         kind = arrival.kind
         ended_s = run.ended_s.get(arrival.job.id)
@@ -331,17 +338,9 @@
         part = worth(took_s, objective_s)
         owed[kind.name] += size
         earned[kind.name] += size * part
-        largest = sorted(a.core_s for a in counted if a.kind is kind)
-        if arrival.core_s >= largest[int(len(largest) * (1 - LARGEST))]:
+        served.append(part > 0)
+        if arrival.core_s >= large_core_s[kind.name]:
             large.append(part > 0)
-    served = [
-        worth(
-            run.ended_s.get(a.job.id, float("inf")) - a.at_s,
-            a.kind.stretch * a.chain_s() + a.kind.target_ms / 1000,
-        )
-        > 0
-        for a in counted
-    ]
     row: dict[str, object] = {
         "user": user.name,
         "load": load,
@@ -358,6 +357,12 @@
     return row
 
 
+def _quantile(values: list[float], part: float) -> float:
+    """Returns the value below which a part of all values lies."""
+    ordered = sorted(values)
+    return ordered[int(len(ordered) * part)] if ordered else 0.0
+
+
 def main() -> None:
     """Plays all ways on the same arrivals and writes the comparison."""
     parser = argparse.ArgumentParser(description=__doc__)
--- /dev/null
+++ b/tests/test_daemon/test_workflow_shards.py
@@ -0,0 +1,216 @@
+"""Tests of workers that are split into shards."""
+
+import os
+
+import eventlet
+
+from tests.test_daemon import workflow_base
+from wisterialug_core.schema import workflow_pb2
+from wisterialug_core.workflow import layouts
+from wisterialug_daemon.workflow import intake
+
+step = workflow_base.step
+
+
+class _ShardsCase(workflow_base.WorkflowTest):
+    """Has workers for two shards, in two data centres."""
+
+    WORKERS = 2 * layouts.WORKERS_A_SHARD
+
+    def start_shards(self, nodes=3):
+        for number in range(self.WORKERS):
+            rack = number // 10
+            self.fleet.add(
+                f"w{number}", rack=f"r{rack}", data_centre=f"dc{rack % 2}"
+            )
+        for number in range(nodes):
+            self.start_node(f"n{number}")
+        self.wait_for(lambda: self.owned_shards() == 2, 10)
+
+    def owned_shards(self):
+        return sum(len(n.election.owned()) for n in self.nodes.values())
+
+    def running(self):
+        return [r for r in self.fleet.history if r.end is None]
+
+
+class ShardsTest(_ShardsCase):
+    """Owners, callers and losses with two shards."""
+
+    def test_two_vms_own_a_shard_each_and_share_the_jobs(self):
+        self.start_shards()
+        owned = [len(n.election.owned()) for n in self.nodes.values()]
+        self.assertEqual([0, 1, 1], sorted(owned))
+        eventlet.sleep(1)
+        jobs = [self.submit(step(4), step(2, after=[0])) for _ in range(12)]
+        for job in jobs:
+            self.wait_for_state(job, workflow_pb2.JOB_COMPLETED)
+        workers = {r.worker for r in self.fleet.history}
+        layout = self.any_node().election.layout
+        shards = {
+            layout.shard_of(w.report)
+            for w in self.fleet.workers.values()
+            if w.report.id in workers
+        }
+        self.assertEqual({0, 1}, shards)
+        self.check_promises()
+
+    def test_state_and_cancel_at_any_vm(self):
+        self.start_shards()
+        jobs = [self.submit(step(1, long_running=True)) for _ in range(4)]
+        for job in jobs:
+            for node in self.nodes.values():
+                answer = node.intake.state(job, workflow_base.CALL_S)
+                self.assertIs(intake.Outcome.OK, answer.outcome)
+        for job, node in zip(jobs, [*self.nodes.values()] * 2, strict=False):
+            answer = node.intake.cancel(job, workflow_base.CALL_S)
+            self.assertIs(intake.Outcome.OK, answer.outcome)
+        for job in jobs:
+            self.wait_for_state(job, workflow_pb2.JOB_CANCELLED)
+        answer = self.any_node().intake.state("f" * 16, workflow_base.CALL_S)
+        self.assertIs(intake.Outcome.NO_JOB, answer.outcome)
+
+    def test_one_owner_is_lost_while_jobs_come(self):
+        self.duration_s = 0.6
+        self.start_shards()
+        eventlet.sleep(0.5)
+        jobs = [self.submit(step(4), step(2, after=[0])) for _ in range(8)]
+        lost = next(
+            name for name, n in self.nodes.items() if n.election.owned()
+        )
+        self.kill_node(lost)
+        jobs += [self.submit(step(4)) for _ in range(8)]
+        for job in jobs:
+            self.wait_for_state(job, workflow_pb2.JOB_COMPLETED, 25)
+        self.assertEqual(2, self.owned_shards())
+        self.check_promises()
+
+    def test_all_vms_are_lost_at_once(self):
+        self.duration_s = 0.6
+        self.start_shards()
+        jobs = [self.submit(step(4), step(2, after=[0])) for _ in range(8)]
+        for name in list(self.nodes):
+            self.kill_node(name)
+        for name in ("n7", "n8"):
+            self.start_node(name)
+        for job in jobs:
+            self.wait_for_state(job, workflow_pb2.JOB_COMPLETED, 25)
+        self.check_promises()
+
+    def test_lasting_tasks_of_a_shard_without_workers_run_in_the_other(self):
+        # Replays the loss of all racks of one shard.
+        self.start_shards()
+        eventlet.sleep(1)
+        job = self.submit(step(6, long_running=True))
+        self.wait_for_state(job, workflow_pb2.JOB_RUNNING)
+        layout = self.any_node().election.layout
+        shards = {
+            name: layout.shard_of(worker.report)
+            for name, worker in self.fleet.workers.items()
+        }
+        home = shards[self.fleet.history[0].worker]
+        for name, shard in shards.items():
+            if shard == home:
+                self.fleet.crash(name)
+        self.wait_for(lambda: len(self.running()) == 6, 15)
+        # The other owner is lost as well; the tasks come back once more.
+        for name, node in list(self.nodes.items()):
+            if f"s{1 - home}" in node.election.owned():
+                self.kill_node(name)
+        self.wait_for(lambda: self.owned_shards() == 2, 10)
+        self.wait_for(lambda: len(self.running()) == 6, 15)
+        answer = self.any_node().intake.cancel(job, workflow_base.CALL_S)
+        self.assertIs(intake.Outcome.OK, answer.outcome)
+        self.wait_for(lambda: not self.running(), 5)
+        self.check_promises()
+
+
+class MixedShardsTest(_ShardsCase):
+    """Faults in series beside jobs of all shapes, by seed."""
+
+    duration_s = 0.5
+    SEEDS = os.environ.get("WISTERIALUG_MIXED_SEEDS", "31").split(",")
+
+    def fails(self, task):
+        return not self.rng.randrange(20)
+
+    def test_seeds(self):
+        for seed in self.SEEDS:
+            self.seed = int(seed)
+            self.rng.seed(self.seed)
+            if not self.nodes:
+                self.start_shards()
+            self.play()
+
+    def play(self):
+        jobs = []
+        for number in range(16):
+            jobs.append(self.submit(*self.shape()))
+            self.begin(number)
+            eventlet.sleep(self.rng.uniform(0.1, 0.6))
+            self.end_faults()
+            if not self.rng.randrange(4):
+                self.cancel(jobs.pop(self.rng.randrange(len(jobs))))
+        for job in jobs:
+            if self.jobs[job].steps[0].long_running:
+                self.cancel(job)
+        final = {workflow_pb2.JOB_COMPLETED, workflow_pb2.JOB_FAILED}
+        for job in jobs:
+            if job not in self.cancelled_s:
+                self.wait_for(lambda job=job: self.state(job) in final, 40, job)
+        self.wait_for(lambda: not self.running(), 10)
+        self.check_promises()
+
+    def shape(self):
+        draw = self.rng.randrange(5)
+        if draw == 0:
+            return [step(5, long_running=True, max_per_worker=2)]
+        if draw == 1:
+            return [step(6, max_per_worker=1), step(2, after=[0])]
+        if draw == 2:
+            return [step(3, required_label="r3")]
+        if draw == 3:
+            return [step(4, gang=True), step(4, after=[0], fills=True)]
+        return [step(40), step(8, after=[0])]
+
+    def begin(self, number):
+        fault = self.rng.choice(
+            [
+                "kill",
+                "lost",
+                "down",
+                "silent",
+                "late",
+                "forget",
+                "crash",
+                "drain",
+                "late",
+                "none",
+            ]
+        )
+        workers = self.rng.sample(list(self.fleet.workers), 5)
+        if fault == "kill":
+            self.kill_node(self.rng.choice(list(self.nodes)))
+            self.start_node(f"s{self.seed}-{number}")
+        elif fault == "lost":
+            self.store.lost_share = 0.5
+        elif fault == "down":
+            self.store.down = True
+        elif fault == "forget":
+            self.store.forget_history()
+        for name in workers:
+            if fault == "silent":
+                self.fleet.workers[name].silent = True
+            elif fault == "late":
+                self.fleet.workers[name].late_share = 0.5
+            elif fault == "crash":
+                self.fleet.crash(name)
+            elif fault == "drain":
+                self.fleet.drain(name)
+
+    def end_faults(self):
+        self.store.lost_share = 0.0
+        self.store.down = False
+        for worker in self.fleet.workers.values():
+            worker.silent = False
+            worker.late_share = 0.0
