Presence: a sole member that missed a join keeps its slots

Cause: a sole roster member may use its slots without a valid session. Change: a lapsed member is removed only if it is known to have seen a roster with another present member, or if the VM list no longer has it.

--- a/packages/wisterialug-core/src/wisterialug_core/decisions/roster.py
+++ b/packages/wisterialug-core/src/wisterialug_core/decisions/roster.py
@@ -61,6 +61,27 @@
     return work_pb2.Roster(epoch=roster.epoch + 1, members=kept)
 
 
+def knows_other_member(
+    roster: work_pb2.Roster, member: work_pb2.RosterMember, acknowledged: int
+) -> bool:
+    """Returns whether a member cannot take itself for the sole member.
+
+    A sole member uses its slots without a valid session. A member that cannot
+    read the table may not have seen that others have joined.
+
+    Args:
+      roster: The newest roster.
+      member: One of its members.
+      acknowledged: Highest epoch that the member is known to have
+        acknowledged; 0 if unknown.
+    """
+    seen_epoch = max(acknowledged, member.joined_epoch)
+    return any(
+        other.session != member.session and other.joined_epoch <= seen_epoch
+        for other in roster.members
+    )
+
+
 @dataclasses.dataclass
 class _Quarantine:
     """A period in which a removed member may still use its slots."""
@@ -197,8 +218,8 @@
         """Returns whether this VM's slots cannot have been reassigned.
 
         A member is removed only after its session and all grants that the
-        other members gave it have expired.  A sole member is removed only
-        when the VM list no longer has it.
+        other members gave it have expired.  A member that may take itself for
+        the sole one is removed only when the VM list no longer has it.
         """
         if not self.is_member():
             return False
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/presence.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/presence.py
@@ -218,11 +218,10 @@
             return True
         if not self._watch.lapsed(member.session, sent_at):
             return False
-        # A sole member may use its slots without a valid session, so it is
-        # only removed when the VM list no longer has it.
-        return len(roster.members) > 1 or not self._inventory.has(
-            member.vm, member.session
-        )
+        acknowledged = self._members.roster_epochs().get(member.session, 0)
+        return roster_lib.knows_other_member(
+            roster, member, acknowledged
+        ) or not self._inventory.has(member.vm, member.session)
 
     def _write_roster(self, roster: work_pb2.Roster, to_end: set[str]) -> None:
         key = self._prefix + "roster/all"
--- a/tests/test_daemon/test_presence_machine.py
+++ b/tests/test_daemon/test_presence_machine.py
@@ -317,6 +317,35 @@
             fleet.healthy_round()
         self.assertEqual([8, 8], self._limits(fleet))
 
+    def test_sole_member_that_missed_a_join_keeps_its_slots(self):
+        # A sole member needs no valid session. The VM that joins must not
+        # remove it before it has learned of the join.
+        fleet = PresenceMachine()
+        self.addCleanup(fleet.teardown)
+        fleet._start("vm-1")
+        for _ in range(4):
+            self._round(fleet, "vm-1")
+        sole = fleet.nodes["vm-1"]
+        sole.client.down = True
+        fleet._start("vm-2")
+        for _ in range(15):
+            self._round(fleet, "vm-1", "vm-2")
+            fleet.send_requests("vm-1", "i1", SLOTS)
+            fleet.send_requests("vm-2", "i1", SLOTS)
+            fleet.limits_are_kept()
+        # Once the VM list has dropped it, its slots are reassigned.
+        sole.dead = True
+        fleet.read_vm_list("vm-1")
+        for _ in range(15):
+            self._round(fleet, "vm-2")
+        self.assertEqual(SLOTS, fleet.nodes["vm-2"].shares.limit("i1", SLOTS))
+
+    def _round(self, fleet, *names):
+        for name in names:
+            fleet.renew(name)
+            fleet.watch(name)
+        fleet.pass_time(1.0)
+
     def test_paused_vm_regains_its_slots(self):
         fleet = PresenceMachine()
         self.addCleanup(fleet.teardown)
