Emulator: members of a gang work and end together

Cause: the emulated workers ended each member of a gang by itself, so that the end of the first completed the job and the others were stopped; the platform ends all members done together, from when all are present, and breaks the others when one ends otherwise.

--- a/packages/wisterialug-standins/src/wisterialug_standins/emulated_workers.py
+++ b/packages/wisterialug-standins/src/wisterialug_standins/emulated_workers.py
@@ -89,6 +89,8 @@
         self.reports: dict[str, model.WorkerReport] = {}
         # If set, the next start is refused with UnwellError.
         self.refuse_next_start: str | None = None
+        # Returns the number of members of a task's gang; 0 without a gang.
+        self.gang_size: Callable[[str], int] = lambda _: 0
         self.history: list[RunRecord] = []
         self._rng = rng
         self._duration_s = duration_s
@@ -258,7 +260,7 @@
     def _progress(self, worker: EmulatedWorker, record: RunRecord) -> int:
         if worker.hangs:
             return 0
-        elapsed_s = clock.now_s() - record.began_s
+        elapsed_s = self._worked_s(record)
         return min(100, int(100 * elapsed_s / self._duration_s(record.task)))
 
     def _deliver(
@@ -341,6 +343,43 @@
         target.next_seq += 1
         target.highest_ended_run[record.task] = record.run
 
+        self._end_gang(record, end)
+
+    def _gang(
+        self, record: RunRecord
+    ) -> list[tuple[EmulatedWorker, RunRecord]]:
+        """Returns the active members of a run's gang; empty without a gang."""
+        if not self.gang_size(record.task):
+            return []
+        group = record.task.rpartition(".")[0]
+        return [
+            (worker, member)
+            for worker in self.workers.values()
+            for member in worker.running.values()
+            if member.task.rpartition(".")[0] == group
+            and member.run == record.run
+        ]
+
+    def _end_gang(self, ended: RunRecord, end: model.RunEnd) -> None:
+        """Ends the other members: all are done together, or none is."""
+        if end is not model.RunEnd.DONE:
+            end = model.RunEnd.BROKEN
+        for worker, member in self._gang(ended):
+            # Ending a member ends the rest of its gang as well.
+            if member.end is None:
+                self._end_run(worker, member, end)
+
+    def _worked_s(self, record: RunRecord) -> float:
+        """Returns how long a run has worked; a gang needs all its members."""
+        size = self.gang_size(record.task)
+        began_s = record.began_s
+        if size:
+            members = [member for _, member in self._gang(record)]
+            if len(members) < size:
+                return 0.0
+            began_s = max(member.began_s for member in members)
+        return clock.now_s() - began_s
+
     def _tick(self) -> None:
         while True:
             eventlet.sleep(TICK_S)
@@ -350,7 +389,10 @@
     def _tick_worker(self, worker: EmulatedWorker) -> None:
         lapsed = worker.deadline_ms < _clock_ms()
         for record in list(worker.running.values()):
-            elapsed_s = clock.now_s() - record.began_s
+            if record.end is not None:
+                # Ended with another member of its gang.
+                continue
+            elapsed_s = self._worked_s(record)
             if lapsed:
                 self._end_run(worker, record, model.RunEnd.LAPSED)
             elif worker.fails_all:
--- a/tests/test_daemon/workflow_base.py
+++ b/tests/test_daemon/workflow_base.py
@@ -6,7 +6,7 @@
 import testtools
 
 from wisterialug_core.schema import workflow_pb2
-from wisterialug_core.workflow import routes
+from wisterialug_core.workflow import model, routes
 from wisterialug_daemon.workflow import clock, election, intake, settings
 from wisterialug_standins import emulated_workers, memory_store, run_oracle
 
@@ -51,6 +51,7 @@
         self.fleet = emulated_workers.EmulatedFleet(
             self.rng, lambda _: self.duration_s, self.fails
         )
+        self.fleet.gang_size = self.gang_size
         self.addCleanup(self.fleet.close)
         self.jobs = {}
         self.cancelled_s = {}
@@ -61,6 +62,13 @@
         del task
         return False
 
+    def gang_size(self, task):
+        """Returns the number of members of a task's gang; 0 without one."""
+        key = model.parse_task_name(task)
+        job = self.jobs.get(key.job)
+        step = job.steps[key.step] if job else None
+        return step.count if step and step.gang else 0
+
     def start_nodes(self, count=2, workers=3):
         for number in range(workers):
             self.fleet.add(f"w{number}")
--- /dev/null
+++ b/tests/test_standins/test_emulated_workers.py
@@ -0,0 +1,54 @@
+"""Tests of the emulated workers."""
+
+import random
+
+import eventlet
+import testtools
+
+from wisterialug_core.workflow import model
+from wisterialug_daemon.workflow import clock, worker_calls
+from wisterialug_standins import emulated_workers
+
+LEASE_MS = 5000
+TIMEOUT_S = 1.0
+
+
+class GangTest(testtools.TestCase):
+    """Gangs on two workers, as the platform runs them."""
+
+    duration_s = 0.2
+
+    def setUp(self):
+        super().setUp()
+        self.fleet = emulated_workers.EmulatedFleet(
+            random.Random(1), lambda _: self.duration_s
+        )
+        self.addCleanup(self.fleet.close)
+        self.fleet.gang_size = lambda _: 2
+        for name in ("w0", "w1"):
+            self.fleet.add(name)
+
+    def start(self, worker, task):
+        deadline_ms = int(clock.now_s() * 1000) + LEASE_MS
+        order = worker_calls.StartOrder(task, 1, "x", "", deadline_ms, 1)
+        report = self.fleet.workers[worker].report
+        self.assertTrue(self.fleet.start(report, order, TIMEOUT_S).is_ok())
+
+    def test_members_end_together_after_all_have_begun(self):
+        self.start("w0", "j.0.0.0")
+        eventlet.sleep(2 * self.duration_s)
+        self.assertIsNone(self.fleet.history[0].end)
+        self.start("w1", "j.0.0.1")
+        eventlet.sleep(2 * self.duration_s)
+        first, second = self.fleet.history
+        self.assertIs(model.RunEnd.DONE, first.end)
+        self.assertIs(model.RunEnd.DONE, second.end)
+        self.assertLess(abs(first.ended_s - second.ended_s), 0.01)
+
+    def test_end_of_one_member_breaks_the_others(self):
+        self.start("w0", "j.0.0.0")
+        self.start("w1", "j.0.0.1")
+        report = self.fleet.workers["w0"].report
+        self.fleet.stop(report, "j.0.0.0", 1, 1, TIMEOUT_S)
+        ends = [record.end for record in self.fleet.history]
+        self.assertEqual([model.RunEnd.STOPPED, model.RunEnd.BROKEN], ends)
