Shards follow what the VMs can carry, and candidates claim in turn

Cause: a shard had 80 workers whatever its owner's VM. On the small twin of the large site (18 VMs of 0.12 cores and 2 Mbit/s, 70 workers) the one owner drowned, was replaced by the next VM, and so on; 14 to 16 VMs raced for the row, and the other 17 VMs idled. Change: VMs register their processors and link. The layout has the fewest shards that twice as many VMs as shards can carry each.

--- a/packages/wisterialug-core/src/wisterialug_core/workflow/layouts.py
+++ b/packages/wisterialug-core/src/wisterialug_core/workflow/layouts.py
@@ -12,18 +12,14 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 from wisterialug_core.schema import workflow_pb2
+from wisterialug_core.workflow import ownership
 
 if TYPE_CHECKING:
     import random
-    from collections.abc import Iterable, Mapping
+    from collections.abc import Collection, Iterable, Mapping
 
     from wisterialug_core.workflow import model
 
-# Workers that one owner can handle: it starts two tasks a second on each and
-# spends 3 ms of processor on a task.
-WORKERS_PER_SHARD = 80
-# Bounds the reads of a VM, as each one follows the owners of all shards.
-MAX_SHARDS = 24
 # Random shards that are compared for one job. With two, VMs that see the same
 # stale loads do not all choose the same shard.
 SAMPLED_SHARDS = 2
@@ -159,12 +155,19 @@
 
 
 def extend(
-    layout: Layout, reports: Iterable[model.WorkerReport]
+    layout: Layout,
+    reports: Iterable[model.WorkerReport],
+    vms: Collection[workflow_pb2.Member] = (),
 ) -> workflow_pb2.Layout | None:
     """Returns the layout with new racks added; None if there are none.
 
     A rack goes to the shard with the fewest racks of its service in its data
     centre, then the least capacity of the service, then in all.
+
+    Args:
+      layout: The layout so far.
+      reports: All listed workers.
+      vms: The VMs that may own shards.
     """
     by_rack: dict[RackKey, list[model.WorkerReport]] = {}
     sizes: collections.Counter[str] = collections.Counter()
@@ -179,14 +182,18 @@
         return None
     message = workflow_pb2.Layout()
     message.CopyFrom(layout.message)
-    message.shards = max(layout.shards, _shards_for(sum(sizes.values())))
+    message.shards = max(
+        layout.shards, ownership.shards_needed(sum(sizes.values()), vms)
+    )
     for key in new:
         workers = by_rack[key]
         message.racks.add(
             service=key.service,
             data_centre=key.data_centre,
             rack=key.rack,
-            shard=_emptiest(message, key, _shards_for(sizes[key.service])),
+            shard=_emptiest(
+                message, key, ownership.shards_needed(sizes[key.service], vms)
+            ),
             capacity_millicores=sum(
                 worker.capacity.cpu_millicores for worker in workers
             ),
@@ -197,10 +204,6 @@
     return message
 
 
-def _shards_for(workers: int) -> int:
-    return max(1, min(MAX_SHARDS, workers // WORKERS_PER_SHARD))
-
-
 def _emptiest(message: workflow_pb2.Layout, key: RackKey, shards: int) -> int:
     """Returns the shard for a new rack.
 
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/election.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/election.py
@@ -8,9 +8,11 @@
 from typing import TYPE_CHECKING
 
 import eventlet
+import eventlet.event
 from google.protobuf import message
 
 from wisterialug_core.schema import workflow_pb2
+from wisterialug_core.workflow import ownership
 from wisterialug_daemon import logs, metrics
 from wisterialug_daemon.workflow import (
     clock,
@@ -25,23 +27,33 @@
 
 if TYPE_CHECKING:
     from wisterialug_core.workflow import layouts
-    from wisterialug_daemon.workflow import settings, sources, worker_calls
+    from wisterialug_daemon.workflow import (
+        members,
+        settings,
+        sources,
+        worker_calls,
+    )
 
 # An owner that misses three renewals is presumed dead.
 OWNER_TIMEOUT_S = 1.7
-# Random claim delay, so that candidates do not all claim at once.
-MAX_JITTER_S = 0.15
-# Further claim delay per owned shard, divided by the VM's processors.
-CLAIM_DELAY_S = 0.25
-MAX_CLAIM_DELAY_S = 1.0
-CHECK_INTERVAL_S = 0.15
+# Random claim delay, as VMs that see different owners may rank alike.
+MAX_JITTER_S = 0.04
+# Claim delay of a VM with one processor that knows no other VM yet; stronger
+# VMs claim earlier.
+UNRANKED_DELAY_S = 0.25
+UNRANKED_JITTER_S = 0.15
+CHECK_INTERVAL_S = 0.05
 # Each VM reads the renewals of all shards; the pause batches them.
 WATCH_SPACING_S = 0.35
 WATCH_WAIT_S = 1.0
 RETRY_S = 0.3
 COMMIT_TIMEOUT_S = 1.0
-# A process that lost or released a shard does not claim it for this time.
-CLAIM_BACKOFF_S = 4.0
+# A shard that was released for another VM is claimed again after this time:
+# the others may all be down.
+BALANCE_BACKOFF_S = 1.5
+# Between two checks whether this VM owns too much; doubled by each release,
+# as it may not have found another owner.
+FIRST_BALANCE_INTERVAL_S = 2.0
 
 
 @dataclasses.dataclass
@@ -69,12 +81,14 @@
         store: row_store.RowStore,
         calls: worker_calls.WorkerCalls,
         registry: sources.WorkerRegistry,
+        vms: members.Members,
     ) -> None:
         self._cfg = cfg
         self._store = store
         self._calls = calls
         self._registry = registry
-        self._keeper = layout_keeper.LayoutKeeper(store)
+        self._vms = vms
+        self._keeper = layout_keeper.LayoutKeeper(store, vms)
         self._shards: dict[str, _Shard] = {}
         self._add_shards()
         self._owned: dict[str, owner.ShardOwner] = {}
@@ -82,11 +96,14 @@
         # When the store became reachable, 0 if not; silence counts from then.
         self._reachable_since_s = 0.0
         self._closing = False
+        # Sent while a claim is scheduled.
+        self._claim_near = eventlet.event.Event()
 
     def start(self) -> None:
         """Starts to watch and claim shards."""
         self._greenlets.supervise(self._watch)
         self._greenlets.supervise(self._check)
+        self._greenlets.supervise(self._balance)
 
     def give_up_all(self) -> None:
         """Starts to release all shards and claims no more."""
@@ -144,7 +161,17 @@
                 self._reachable_since_s = clock.now_s()
             for row in rows:
                 self._apply_row(row)
-            eventlet.sleep(WATCH_SPACING_S)
+            self._pause_watch()
+
+    def _pause_watch(self) -> None:
+        """Lets renewals pile up, unless this VM is about to claim a shard."""
+        with eventlet.Timeout(WATCH_SPACING_S, False):
+            self._claim_near.wait()
+        self._claim_near = eventlet.event.Event()
+
+    def _wake_watch(self) -> None:
+        if not self._claim_near.ready():
+            self._claim_near.send()
 
     def _read_all(self):  # noqa: ANN202 - a result of rows and a version
         """Reads the layout and all owners, with the version of the layout."""
@@ -236,20 +263,54 @@
             if self._is_earlier_process(shard):
                 self._claim(name, shard)
                 return
-            # VMs with more processors per owned shard claim earlier: they have
-            # the most capacity for an owner.
-            owned = len(self._owned) + 1
-            delay_s = CLAIM_DELAY_S * owned / self._cfg.processors
-            shard.claim_s = (
-                now_s
-                + min(MAX_CLAIM_DELAY_S, delay_s)
-                + random.uniform(0, MAX_JITTER_S)
-            )
+            shard.claim_s = now_s + self._claim_delay_s(name)
+            self._wake_watch()
         if now_s < shard.claim_s:
+            # Another candidate may have claimed it meanwhile.
+            self._wake_watch()
             return
         shard.claim_s = 0.0
         self._claim(name, shard)
 
+    def _claim_delay_s(self, name: str) -> float:
+        if len(self._vms.by_name) == 1:
+            delay_s = UNRANKED_DELAY_S / self._cfg.processors
+            return delay_s + random.uniform(0, UNRANKED_JITTER_S)
+        delay_s = ownership.claim_delay_s(
+            self._cfg.node, name, self._vms.by_name, self._count_owned()
+        )
+        return delay_s + random.uniform(0, MAX_JITTER_S)
+
+    def _count_owned(self) -> dict[str, int]:
+        """Counts the shards with a live owner, by VM."""
+        now_s = clock.now_s()
+        return ownership.count_owned(
+            shard.ownership.owner
+            for shard in self._shards.values()
+            if now_s - shard.changed_s < OWNER_TIMEOUT_S
+        )
+
+    def _balance(self) -> None:
+        """Releases shards that other VMs can carry better."""
+        pause_s = FIRST_BALANCE_INTERVAL_S
+        while not self._closing:
+            eventlet.sleep(pause_s)
+            shards = {
+                name: len(shard_owner.shard_workers.workers)
+                for name, shard_owner in self._owned.items()
+            }
+            name = ownership.shard_to_release(
+                self._cfg.node,
+                shards,
+                self._vms.by_name,
+                self._count_owned(),
+            )
+            if name is not None:
+                pause_s *= 2
+                self._owned[name].give_up(
+                    "this VM owns more than it can carry", BALANCE_BACKOFF_S
+                )
+
     def _claim(self, name: str, shard: _Shard) -> None:
         ownership = workflow_pb2.Ownership(
             owner=self._cfg.owner_id,
@@ -326,4 +387,4 @@
             shard_owner.lose("ended")
             self._owned.pop(name, None)
             shard = self._shards[name]
-            shard.backoff_until_s = clock.now_s() + CLAIM_BACKOFF_S
+            shard.backoff_until_s = clock.now_s() + shard_owner.claim_backoff_s
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/layout_keeper.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/layout_keeper.py
@@ -15,11 +15,12 @@
     from collections.abc import Iterable
 
     from wisterialug_core.workflow import model
+    from wisterialug_daemon.workflow import members
 
 COMMIT_TIMEOUT_S = 1.0
-# Racks are assigned once no worker was added for this long, so that the first
-# few of a new fleet are not taken for all of it; workers register within a
-# second of their start.
+# Racks are assigned once no worker and no VM was added for this long, so that
+# the first few of a new fleet are not taken for all of it; both register within
+# a second of their start.
 SETTLE_S = 1.0
 # Jobs do not wait longer than this for a list that keeps growing.
 MAX_SETTLE_S = 3.0
@@ -32,11 +33,12 @@
       layout: The newest layout seen.
     """
 
-    def __init__(self, store: row_store.RowStore) -> None:
+    def __init__(self, store: row_store.RowStore, vms: members.Members) -> None:
         self.layout = layouts.Layout()
         self._store = store
+        self._vms = vms
         self._version = 0
-        # Workers in the latest list, and when it last grew.
+        # Workers and VMs listed, and when their number last grew.
         self._listed = 0
         self._grown_s = 0.0
         self._unplaced_since_s = 0.0
@@ -61,10 +63,11 @@
         If another VM changed it, the commit fails; call again after `apply`.
         """
         listed = list(reports)
-        if not self._has_settled(len(listed)):
+        vms = list(self._vms.by_name.values())
+        if not self._has_settled(len(listed) + len(vms)):
             return False
         self._unplaced_since_s = 0.0
-        extended = layouts.extend(self.layout, listed)
+        extended = layouts.extend(self.layout, listed, vms)
         if extended is None:
             return False
         ref = records.layout()
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/owner.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/owner.py
@@ -51,6 +51,8 @@
 MAX_CYCLE_INTERVAL_S = 0.25
 # Pause after each commit, so that run ends are committed in batches.
 COMMIT_SPACING_S = 0.02
+# A process that lost or released a shard does not claim it for this time.
+CLAIM_BACKOFF_S = 4.0
 PRUNE_INTERVAL_S = 5.0
 MAX_PRUNED_ROWS = 20
 # Bounds how much learned interference is lost at a takeover.
@@ -66,6 +68,7 @@
 
     Attributes:
       lost: Another process owns the shard, or this one released it.
+      claim_backoff_s: How long this process does not claim the shard again.
     """
 
     def __init__(
@@ -85,6 +88,7 @@
         self.interference = fill_interference.InterferenceModel()
         self.calls = calls
         self.lost = False
+        self.claim_backoff_s = CLAIM_BACKOFF_S
         self.greenlets = pool.Greenlets()
         self.acquired_s = clock.now_s()
         self._feeds = shard_feeds.ShardFeeds(self, store, registry, keeper)
@@ -158,9 +162,12 @@
         finally:
             self.greenlets.close()
 
-    def give_up(self, reason: str) -> None:
+    def give_up(
+        self, reason: str, claim_backoff_s: float = CLAIM_BACKOFF_S
+    ) -> None:
         """Releases the shard in the next scheduling cycle."""
         self._stopping = True
+        self.claim_backoff_s = claim_backoff_s
         logs.event(
             "shard-given-up",
             shard=self.rows.shard,
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/records.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/records.py
@@ -68,6 +68,11 @@
     )
 
 
+def member(node: str) -> row_store.RowRef:
+    """Names the row in which a VM registers itself."""
+    return row_store.RowRef(MEMBERS_TABLE, "", node)
+
+
 def layout() -> row_store.RowRef:
     """Names the row of the assignment of workers to shards."""
     return row_store.RowRef(OWNERS_TABLE, "", "layout")
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/settings.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/settings.py
@@ -16,6 +16,7 @@
         longer than a takeover takes.
       state_kept_s: How long the state of an ended job can be queried.
       processors: Processors that the process may use.
+      link_mbps: Bandwidth of the VM's link, in megabits per second.
       stop_within_s: Time from the stop request until the process must end.
     """
 
@@ -26,6 +27,7 @@
     state_kept_s: float
     stop_within_s: float
     processors: float = 1.0
+    link_mbps: float = 1000.0
 
     @property
     def owner_id(self) -> str:
--- a/packages/wisterialug-standins/src/wisterialug_standins/workflow_demo.py
+++ b/packages/wisterialug-standins/src/wisterialug_standins/workflow_demo.py
@@ -13,7 +13,13 @@
 
 from wisterialug_core.schema import workflow_pb2
 from wisterialug_core.workflow import routes
-from wisterialug_daemon.workflow import clock, election, intake, settings
+from wisterialug_daemon.workflow import (
+    clock,
+    election,
+    intake,
+    members,
+    settings,
+)
 from wisterialug_standins import emulated_workers, memory_store, run_oracle
 
 if TYPE_CHECKING:
@@ -56,7 +62,12 @@
             stop_within_s=5.0,
         )
         self.name = name
-        self.election = election.Election(cfg, store, fleet, fleet)
+        own = workflow_pb2.Member(
+            ip=name, port=1, millicores=1000, link_kbps=10**6
+        )
+        self.election = election.Election(
+            cfg, store, fleet, fleet, members.Members(name, own, store)
+        )
         self.intake = intake.Intake(store, self.election)
         self.election.start()
 
