Leases end no later than a new owner assumes

Cause: a lease was counted from when the owner had sent the call whose response showed the worker's clock. A worker that waits for an end reads its clock up to a second later, so deadlines lay up to a second after the worker's time and the length of a lease. A new owner takes runs for lost one length after the worker's clock in its first response. Change: deadlines are granted from a lower bound of the worker's clock.

--- a/packages/wisterialug-core/src/wisterialug_core/workflow/leases.py
+++ b/packages/wisterialug-core/src/wisterialug_core/workflow/leases.py
@@ -17,31 +17,32 @@
 
     Attributes:
       clock_ms: Worker's clock in its latest response; -1 before the first.
-      clock_sent_s: When the call with that response was sent.
       clock_received_s: When that response was received.
       deadline_ms: Latest deadline that any call may have given the worker.
     """
 
     clock_ms: int = -1
-    clock_sent_s: float = 0.0
     clock_received_s: float = 0.0
     deadline_ms: int = 0
 
-    def record_clock(
-        self, clock_ms: int, sent_s: float, received_s: float
-    ) -> None:
+    def record_clock(self, clock_ms: int, received_s: float) -> None:
         """Records the worker's clock from a response."""
         if clock_ms >= self.clock_ms:
             self.clock_ms = clock_ms
-            self.clock_sent_s = sent_s
             self.clock_received_s = received_s
 
     def grant(self, now_s: float, length_ms: int) -> int | None:
-        """Returns a new lease deadline; None before the first response."""
+        """Returns a new lease deadline; None before the first response.
+
+        The deadline is at most `length_ms` after the worker's present time. A
+        new owner relies on it: from the worker's clock in its first response,
+        it knows when all leases of earlier owners have expired.
+        """
         if self.clock_ms < 0:
             return None
-        # An upper bound: the clock was read after the call was sent.
-        elapsed_ms = (now_s - self.clock_sent_s) * 1000
+        # A lower bound of the clock. It was read before the response arrived,
+        # seconds after the call was sent if the worker waited for an end.
+        elapsed_ms = (now_s - self.clock_received_s) * 1000 * MIN_CLOCK_RATE
         deadline_ms = int(self.clock_ms + elapsed_ms + length_ms)
         self.deadline_ms = max(self.deadline_ms, deadline_ms)
         return deadline_ms
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/worker_session.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/worker_session.py
@@ -178,9 +178,7 @@
     def _handle_report(self, report: worker_calls.RunReport) -> None:
         worker = self.worker
         reply = report.reply
-        worker.lease.record_clock(
-            reply.clock_ms, reply.sent_s, reply.received_s
-        )
+        worker.lease.record_clock(reply.clock_ms, reply.received_s)
         if worker.silent_since_s:
             logs.event(
                 "worker-answers-again",
