--- /dev/null
+++ b/packages/wisterialug-core/src/wisterialug_core/workflow/job_entry.py
@@ -0,0 +1,133 @@
+"""One job and the state of its tasks."""
+
+from __future__ import annotations
+
+import dataclasses
+from typing import TYPE_CHECKING
+
+from wisterialug_core.schema import workflow_pb2
+from wisterialug_core.workflow import model
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+# `lent_to` of the tasks of a borrowed job that its home shard has not lent.
+HOME = "home"
+
+FINAL_STATES = frozenset(
+    {
+        workflow_pb2.JOB_COMPLETED,
+        workflow_pb2.JOB_FAILED,
+        workflow_pb2.JOB_CANCELLED,
+    }
+)
+
+
+def record_of(task: model.Task) -> workflow_pb2.TaskRecord:
+    """Returns the stored record of a task."""
+    return workflow_pb2.TaskRecord(
+        repetition=task.key.repetition,
+        step=task.key.step,
+        index=task.key.index,
+        run=task.run,
+        worker=task.worker,
+        done=task.done,
+        failures=task.failures,
+        checkpoint="" if task.done else task.checkpoint,
+        lent_to=task.lent_to,
+        loans=task.loans,
+    )
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class JobEntry:
+    """One job and its tasks.
+
+    Attributes:
+      home: The job belongs to this shard; otherwise tasks are borrowed.
+      cancelled: The caller has cancelled the job.
+      groups: Tasks by repetition and step, created on first use.
+      open_tasks: Number of tasks of a group that are not done.
+      active: Number of active runs.
+      lenders: Shards that have lent tasks of a borrowed job.
+      ended_ms: When the job ended, or a borrowed one had nothing left to run.
+    """
+
+    job: workflow_pb2.Job
+    home: bool = True
+    state: int = workflow_pb2.JOB_QUEUED
+    cancelled: bool = False
+    ended_ms: int = 0
+    groups: dict[model.GroupKey, list[model.Task]] = dataclasses.field(
+        default_factory=dict
+    )
+    open_tasks: dict[model.GroupKey, int] = dataclasses.field(
+        default_factory=dict
+    )
+    active: int = 0
+    lenders: set[str] = dataclasses.field(default_factory=set)
+
+    @property
+    def repetitions(self) -> int:
+        """Returns the number of times that the steps run."""
+        return max(1, self.job.repeats)
+
+    @property
+    def final(self) -> bool:
+        """Returns whether the job has ended."""
+        return self.state in FINAL_STATES
+
+    def due_ms(self, repetition: int) -> int:
+        """Returns a repetition's earliest start in Unix ms; 0 for now."""
+        if not self.job.repeats:
+            return 0
+        return self.job.start_at_ms + repetition * self.job.interval_ms
+
+    def group(self, key: model.GroupKey) -> list[model.Task]:
+        """Returns the tasks of a group."""
+        tasks = self.groups.get(key)
+        if tasks is None:
+            count = self.job.steps[key.step].count
+            lent_to = "" if self.home else HOME
+            tasks = [
+                model.Task(model.TaskKey(*key, i), lent_to=lent_to)
+                for i in range(count)
+            ]
+            self.groups[key] = tasks
+            self.open_tasks[key] = count
+        return tasks
+
+    def step_done(self, repetition: int, step: int) -> bool:
+        """Returns whether all tasks of a step are done."""
+        key = model.GroupKey(self.job.id, repetition, step)
+        return key in self.groups and self.open_tasks[key] == 0
+
+    def ready_groups(
+        self, now_ms: int, lookahead_ms: int = 0
+    ) -> Iterator[model.GroupKey]:
+        """Yields the unfinished groups that are due and not blocked."""
+        for repetition in range(self.repetitions):
+            if self.due_ms(repetition) > now_ms + lookahead_ms:
+                return
+            for number, step in enumerate(self.job.steps):
+                if self.step_done(repetition, number):
+                    continue
+                # Borrowed tasks were ready when they were lent.
+                if not self.home or all(
+                    self.step_done(repetition, a) for a in step.after
+                ):
+                    yield model.GroupKey(self.job.id, repetition, number)
+
+    def has_open_tasks(self) -> bool:
+        """Returns whether this shard runs a task or is to start one."""
+        return bool(self.active) or any(
+            task.pending for tasks in self.groups.values() for task in tasks
+        )
+
+    def all_done(self) -> bool:
+        """Returns whether each task of each repetition is done."""
+        return all(
+            self.step_done(repetition, step)
+            for repetition in range(self.repetitions)
+            for step in range(len(self.job.steps))
+        )
--- a/packages/wisterialug-core/src/wisterialug_core/workflow/job_table.py
+++ b/packages/wisterialug-core/src/wisterialug_core/workflow/job_table.py
@@ -1,32 +1,16 @@
-"""Jobs of one shard and the state of their tasks."""
+"""Jobs of one shard, with the changes that are not durable yet."""
 
 from __future__ import annotations
 
-import dataclasses
-from typing import TYPE_CHECKING
-
 from wisterialug_core.decisions import resources
 from wisterialug_core.schema import workflow_pb2
-from wisterialug_core.workflow import model
-
-if TYPE_CHECKING:
-    from collections.abc import Iterator
+from wisterialug_core.workflow import job_entry, model
 
 # Dropped job ids that are kept; their rows may be read for some more seconds.
 MAX_DROPPED = 10_000
 # Cancelled job ids of other shards that are kept: a loan may be read after the
 # cancellation of its job, seconds later where a VM was partitioned.
 MAX_CANCELLED_ELSEWHERE = 10_000
-# `lent_to` of the tasks of a borrowed job that its home shard has not lent.
-HOME = "home"
-
-FINAL_STATES = frozenset(
-    {
-        workflow_pb2.JOB_COMPLETED,
-        workflow_pb2.JOB_FAILED,
-        workflow_pb2.JOB_CANCELLED,
-    }
-)
 
 
 def reserved_amount(step: workflow_pb2.Step) -> resources.Amount:
@@ -41,91 +25,6 @@
     )
 
 
-@dataclasses.dataclass(slots=True, eq=False)
-class JobEntry:
-    """One job and its tasks.
-
-    Attributes:
-      home: The job belongs to this shard; otherwise tasks are borrowed.
-      cancelled: The caller has cancelled the job.
-      groups: Tasks by repetition and step, created on first use.
-      open_tasks: Number of tasks of a group that are not done.
-      active: Number of active runs.
-    """
-
-    job: workflow_pb2.Job
-    home: bool = True
-    state: int = workflow_pb2.JOB_QUEUED
-    cancelled: bool = False
-    ended_ms: int = 0
-    groups: dict[model.GroupKey, list[model.Task]] = dataclasses.field(
-        default_factory=dict
-    )
-    open_tasks: dict[model.GroupKey, int] = dataclasses.field(
-        default_factory=dict
-    )
-    active: int = 0
-
-    @property
-    def repetitions(self) -> int:
-        """Returns the number of times that the steps run."""
-        return max(1, self.job.repeats)
-
-    @property
-    def final(self) -> bool:
-        """Returns whether the job has ended."""
-        return self.state in FINAL_STATES
-
-    def due_ms(self, repetition: int) -> int:
-        """Returns a repetition's earliest start in Unix ms; 0 for now."""
-        if not self.job.repeats:
-            return 0
-        return self.job.start_at_ms + repetition * self.job.interval_ms
-
-    def group(self, key: model.GroupKey) -> list[model.Task]:
-        """Returns the tasks of a group."""
-        tasks = self.groups.get(key)
-        if tasks is None:
-            count = self.job.steps[key.step].count
-            lent_to = "" if self.home else HOME
-            tasks = [
-                model.Task(model.TaskKey(*key, i), lent_to=lent_to)
-                for i in range(count)
-            ]
-            self.groups[key] = tasks
-            self.open_tasks[key] = count
-        return tasks
-
-    def step_done(self, repetition: int, step: int) -> bool:
-        """Returns whether all tasks of a step are done."""
-        key = model.GroupKey(self.job.id, repetition, step)
-        return key in self.groups and self.open_tasks[key] == 0
-
-    def ready_groups(
-        self, now_ms: int, lookahead_ms: int = 0
-    ) -> Iterator[model.GroupKey]:
-        """Yields the unfinished groups that are due and not blocked."""
-        for repetition in range(self.repetitions):
-            if self.due_ms(repetition) > now_ms + lookahead_ms:
-                return
-            for number, step in enumerate(self.job.steps):
-                if self.step_done(repetition, number):
-                    continue
-                # Borrowed tasks were ready when they were lent.
-                if not self.home or all(
-                    self.step_done(repetition, a) for a in step.after
-                ):
-                    yield model.GroupKey(self.job.id, repetition, number)
-
-    def all_done(self) -> bool:
-        """Returns whether each task of each repetition is done."""
-        return all(
-            self.step_done(repetition, step)
-            for repetition in range(self.repetitions)
-            for step in range(len(self.job.steps))
-        )
-
-
 class JobTable:
     """Jobs of a shard, with the changes that are not durable yet.
 
@@ -135,14 +34,14 @@
     """
 
     def __init__(self) -> None:
-        self.jobs: dict[str, JobEntry] = {}
+        self.jobs: dict[str, job_entry.JobEntry] = {}
         self.dirty: set[str] = set()
-        self.open_jobs: dict[str, JobEntry] = {}
+        self.open_jobs: dict[str, job_entry.JobEntry] = {}
         # Ids of recently dropped jobs, oldest first.
         self._dropped: dict[str, None] = {}
         self._cancelled_elsewhere: dict[str, None] = {}
 
-    def add(self, job: workflow_pb2.Job) -> JobEntry | None:
+    def add(self, job: workflow_pb2.Job) -> job_entry.JobEntry | None:
         """Adds a job unless it is known already.
 
         Returns:
@@ -153,10 +52,10 @@
         if entry is None and job.id in self._dropped:
             return None
         if entry is None:
-            entry = self._insert(JobEntry(job))
+            entry = self._insert(job_entry.JobEntry(job))
         return entry
 
-    def add_borrowed(self, job: workflow_pb2.Job) -> JobEntry | None:
+    def add_borrowed(self, job: workflow_pb2.Job) -> job_entry.JobEntry | None:
         """Adds a job of another shard that lends tasks to this one."""
         entry = self.jobs.get(job.id)
         if entry is None and (
@@ -164,65 +63,16 @@
         ):
             return None
         if entry is None:
-            entry = self._insert(JobEntry(job, home=False))
+            entry = self._insert(job_entry.JobEntry(job, home=False))
         return entry
 
-    def _insert(self, entry: JobEntry) -> JobEntry:
+    def _insert(self, entry: job_entry.JobEntry) -> job_entry.JobEntry:
         self.jobs[entry.job.id] = entry
         self.open_jobs[entry.job.id] = entry
         return entry
 
-    def lend(self, task: model.Task, shard: str) -> None:
-        """Lends a waiting task to another shard."""
-        task.lent_to = shard
-        task.loans += 1
-        self.dirty.add(task.key.job)
-
-    def loan(
-        self, job: str, from_shard: str, to_shard: str
-    ) -> workflow_pb2.Loan:
-        """Returns all tasks of a job that are lent to a shard."""
-        entry = self.jobs[job]
-        message = workflow_pb2.Loan(
-            job=entry.job, from_shard=from_shard, to_shard=to_shard
-        )
-        for tasks in entry.groups.values():
-            message.tasks.extend(
-                _record(task) for task in tasks if task.lent_to == to_shard
-            )
-        return message
-
-    def lent_to(self, job: str) -> set[str]:
-        """Returns the shards to which tasks of a job are lent."""
-        return {
-            task.lent_to
-            for tasks in self.jobs[job].groups.values()
-            for task in tasks
-            if task.lent_to and task.lent_to != HOME
-        }
-
-    def borrow(self, loan: workflow_pb2.Loan) -> bool:
-        """Accepts lent tasks; returns whether any are new here."""
-        entry = self.add_borrowed(loan.job)
-        if entry is None or entry.final:
-            return False
-        new = False
-        for record in loan.tasks:
-            key = model.GroupKey(entry.job.id, record.repetition, record.step)
-            task = entry.group(key)[record.index]
-            if record.loans <= task.loans:
-                continue
-            task.lent_to = ""
-            task.loans = record.loans
-            task.run = max(task.run, record.run)
-            task.checkpoint = record.checkpoint
-            new = True
-        if new:
-            self.dirty.add(entry.job.id)
-        return new
-
     def restore(
-        self, entry: JobEntry, progress: workflow_pb2.Progress
+        self, entry: job_entry.JobEntry, progress: workflow_pb2.Progress
     ) -> list[model.Task]:
         """Restores a job from its record.
 
@@ -284,6 +134,7 @@
         task.phase_since_s = now_s
         task.progress = 0
         task.stalled_since_s = 0.0
+        task.borrowed_s = 0.0
         entry.active += 1
         self.dirty.add(task.key.job)
 
@@ -311,11 +162,48 @@
             task.failures += 1
             if task.failures >= entry.job.policy.max_attempts:
                 self._finish(entry, workflow_pb2.JOB_FAILED, now_ms)
+        self.close_if_ended(entry, now_ms)
+
+    def add_result(
+        self, task: model.Task, record: workflow_pb2.TaskRecord, now_ms: int
+    ) -> None:
+        """Records what another shard reports of a lent task."""
+        entry = self.jobs[task.key.job]
+        task.run = max(task.run, record.run)
+        task.failures = max(task.failures, record.failures)
+        task.checkpoint = record.checkpoint
+        self.dirty.add(task.key.job)
+        if entry.state == workflow_pb2.JOB_QUEUED:
+            entry.state = workflow_pb2.JOB_RUNNING
+        if record.done:
+            self._mark_done(entry, task)
+        elif record.failures >= entry.job.policy.max_attempts:
+            self._finish(entry, workflow_pb2.JOB_FAILED, now_ms)
+        elif record.lent_to:
+            task.lent_to = ""
+        self.close_if_ended(entry, now_ms)
+
+    def close_if_ended(self, entry: job_entry.JobEntry, now_ms: int) -> None:
+        """Ends a job that has no task left, here or at all."""
         if not entry.final and entry.all_done():
             self._finish(entry, workflow_pb2.JOB_COMPLETED, now_ms)
-        if entry.final and not entry.active:
+        if entry.home:
+            ended = entry.final and not entry.active
+        else:
+            ended = not entry.active and (
+                entry.final or not entry.has_open_tasks()
+            )
+            if ended and not entry.final:
+                entry.ended_ms = now_ms
+        if ended:
             self.open_jobs.pop(entry.job.id, None)
 
+    def reopen(self, entry: job_entry.JobEntry) -> None:
+        """Opens a borrowed job that has got more tasks to run."""
+        entry.ended_ms = 0
+        self.open_jobs[entry.job.id] = entry
+        self.dirty.add(entry.job.id)
+
     def cancel(self, job: str, now_ms: int) -> bool:
         """Cancels a job; returns whether that changed its state."""
         entry = self.jobs.get(job)
@@ -345,7 +233,7 @@
                 # Of an ended job, only tasks with an active run are kept.
                 touched = task.run or task.loans
                 if touched and (task.worker or not entry.final):
-                    message.tasks.append(_record(task))
+                    message.tasks.append(job_entry.record_of(task))
         return message
 
     def waiting_by_route(self) -> dict[str, int]:
@@ -392,7 +280,7 @@
             for task in self.waiting_long_running(now_ms)
         )
 
-    def _mark_done(self, entry: JobEntry, task: model.Task) -> None:
+    def _mark_done(self, entry: job_entry.JobEntry, task: model.Task) -> None:
         step = entry.job.steps[task.key.step]
         key = model.GroupKey(*task.key[:3])
         # The end of one member ends the whole gang.
@@ -402,22 +290,9 @@
                 member.done = True
                 entry.open_tasks[key] -= 1
 
-    def _finish(self, entry: JobEntry, state: int, now_ms: int) -> None:
+    def _finish(
+        self, entry: job_entry.JobEntry, state: int, now_ms: int
+    ) -> None:
         entry.state = state
         entry.ended_ms = now_ms
         self.dirty.add(entry.job.id)
-
-
-def _record(task: model.Task) -> workflow_pb2.TaskRecord:
-    return workflow_pb2.TaskRecord(
-        repetition=task.key.repetition,
-        step=task.key.step,
-        index=task.key.index,
-        run=task.run,
-        worker=task.worker,
-        done=task.done,
-        failures=task.failures,
-        checkpoint="" if task.done else task.checkpoint,
-        lent_to=task.lent_to,
-        loans=task.loans,
-    )
--- /dev/null
+++ b/packages/wisterialug-core/src/wisterialug_core/workflow/loans.py
@@ -0,0 +1,140 @@
+"""Hands tasks of a job over to other shards, and takes their results back.
+
+A shard may be full, or have lost its workers, while others have room. The
+record of each task counts its loans; the shard with the latest loan runs the
+task, so that rows that are read late or twice change nothing. Finite tasks are
+lent by the shard of their job only, which needs their results.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from wisterialug_core.schema import workflow_pb2
+from wisterialug_core.workflow import job_entry, model
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from wisterialug_core.workflow import job_table
+
+
+class Loans:
+    """Lent and borrowed tasks of one shard's jobs."""
+
+    def __init__(self, shard: str, jobs: job_table.JobTable) -> None:
+        self._shard = shard
+        self._jobs = jobs
+
+    # As the lender.
+
+    def lend(self, task: model.Task, shard: str) -> None:
+        """Lends a waiting task to another shard."""
+        task.lent_to = shard
+        task.loans += 1
+        self._jobs.dirty.add(task.key.job)
+
+    def loan(self, job: str, to_shard: str) -> workflow_pb2.Loan:
+        """Returns all tasks of a job that are lent to a shard."""
+        entry = self._jobs.jobs[job]
+        message = workflow_pb2.Loan(
+            job=entry.job, from_shard=self._shard, to_shard=to_shard
+        )
+        message.tasks.extend(
+            job_entry.record_of(task)
+            for task in _tasks(entry)
+            if task.lent_to == to_shard
+        )
+        return message
+
+    def lent_to(self, job: str) -> set[str]:
+        """Returns the shards to which tasks of a job are lent."""
+        return {
+            task.lent_to
+            for task in _tasks(self._jobs.jobs[job])
+            if task.lent_to and task.lent_to != job_entry.HOME
+        }
+
+    def apply_result(self, result: workflow_pb2.LoanResult, now_ms: int) -> int:
+        """Applies results of lent tasks; returns how many were new."""
+        entry = self._jobs.jobs.get(result.job)
+        if entry is None or not entry.home:
+            return 0
+        new = 0
+        for record in result.tasks:
+            key = model.TaskKey(
+                result.job, record.repetition, record.step, record.index
+            )
+            task = self._jobs.task(key)
+            if (
+                entry.final
+                or task is None
+                or task.done
+                or task.lent_to != result.from_shard
+                or task.loans != record.loans
+                or not (record.done or record.lent_to or record.failures)
+            ):
+                continue
+            if record.failures == task.failures and not (
+                record.done or record.lent_to
+            ):
+                continue
+            self._jobs.add_result(task, record, now_ms)
+            new += 1
+        return new
+
+    # As the borrower.
+
+    def borrow(self, loan: workflow_pb2.Loan) -> bool:
+        """Accepts lent tasks; returns whether any are new here."""
+        entry = self._jobs.add_borrowed(loan.job)
+        if entry is None or entry.final:
+            return False
+        entry.lenders.add(loan.from_shard)
+        new = False
+        for record in loan.tasks:
+            key = model.GroupKey(entry.job.id, record.repetition, record.step)
+            task = entry.group(key)[record.index]
+            if record.loans <= task.loans:
+                continue
+            task.lent_to = ""
+            task.loans = record.loans
+            task.run = max(task.run, record.run)
+            task.failures = max(task.failures, record.failures)
+            task.checkpoint = record.checkpoint
+            new = True
+        if new:
+            self._jobs.reopen(entry)
+        return new
+
+    def give_back(self, task: model.Task, now_ms: int) -> None:
+        """Returns a borrowed task that has no active run to its job's shard."""
+        task.lent_to = job_entry.HOME
+        self._jobs.dirty.add(task.key.job)
+        self._jobs.close_if_ended(self._jobs.jobs[task.key.job], now_ms)
+
+    def result(self, job: str) -> workflow_pb2.LoanResult | None:
+        """Returns the results of a borrowed job's tasks; None without any."""
+        entry = self._jobs.jobs[job]
+        if entry.home:
+            return None
+        records = [
+            job_entry.record_of(task)
+            for task in _tasks(entry)
+            if task.loans
+            and not entry.job.steps[task.key.step].long_running
+            and (task.done or task.failures or task.lent_to == job_entry.HOME)
+        ]
+        if not records:
+            return None
+        return workflow_pb2.LoanResult(
+            job=job,
+            from_shard=self._shard,
+            to_shard=entry.job.shard,
+            tasks=records,
+        )
+
+
+def _tasks(entry: job_entry.JobEntry) -> Iterator[model.Task]:
+    for tasks in entry.groups.values():
+        yield from tasks
--- a/packages/wisterialug-core/src/wisterialug_core/workflow/model.py
+++ b/packages/wisterialug-core/src/wisterialug_core/workflow/model.py
@@ -107,6 +107,8 @@
     # Other shard that runs it, if any, and how often it was lent.
     lent_to: str = ""
     loans: int = 0
+    # When a borrowed task that waits was first seen to; 0 if it does not wait.
+    borrowed_s: float = 0.0
     # Of the active run only.
     phase: Phase = Phase.STARTING
     phase_since_s: float = 0.0
--- a/packages/wisterialug-core/src/wisterialug_core/workflow/step_placement.py
+++ b/packages/wisterialug-core/src/wisterialug_core/workflow/step_placement.py
@@ -23,7 +23,7 @@
     from collections.abc import Iterable
 
     from wisterialug_core.schema import workflow_pb2
-    from wisterialug_core.workflow import worker_table
+    from wisterialug_core.workflow import job_entry, worker_table
 
 # A fill job that waits for this long with nothing running gets one run even if
 # that must be throttled.
@@ -61,15 +61,18 @@
     if not usable:
         return []
     this_round = _Round(jobs, workers, interference, usable, now_s, now_ms)
-    for group, waiting in _pending_groups(jobs, now_s, now_ms, order)[
+    for group, waiting in pending_groups(jobs, now_s, now_ms, order)[
         :MAX_GROUPS_PER_ROUND
     ]:
         this_round.place(group, waiting)
     return this_round.placements
 
 
-def _pending_groups(
-    jobs: job_table.JobTable, now_s: float, now_ms: int, order: urgency.Order
+def pending_groups(
+    jobs: job_table.JobTable,
+    now_s: float,
+    now_ms: int,
+    order: urgency.Order = urgency.order,
 ) -> list[tuple[model.GroupKey, list[model.Task]]]:
     """Returns the pending tasks by group, the most urgent first."""
     queue = []
@@ -181,7 +184,7 @@
         )
 
     def _is_exhausted(
-        self, entry: job_table.JobEntry, step: workflow_pb2.Step
+        self, entry: job_entry.JobEntry, step: workflow_pb2.Step
     ) -> bool:
         """Returns whether a similar task that needs no more did not fit."""
         if step.long_running:
@@ -194,13 +197,13 @@
         )
 
     def _note_exhausted(
-        self, entry: job_table.JobEntry, step: workflow_pb2.Step
+        self, entry: job_entry.JobEntry, step: workflow_pb2.Step
     ) -> None:
         needs = self._exhausted.setdefault(_kind(entry, step), [])
         needs.append(_full_amount(step))
 
     def _is_starved(
-        self, entry: job_table.JobEntry, step: workflow_pb2.Step
+        self, entry: job_entry.JobEntry, step: workflow_pb2.Step
     ) -> bool:
         """Returns whether a fill job gets a run even if throttled."""
         waited_ms = self._now_ms - entry.job.accepted_ms
@@ -213,7 +216,7 @@
 
 
 def can_place(
-    entry: job_table.JobEntry,
+    entry: job_entry.JobEntry,
     group: model.GroupKey,
     workers: worker_table.WorkerTable,
     interference: fill_interference.InterferenceModel,
@@ -233,7 +236,7 @@
     )
 
 
-def _kind(entry: job_table.JobEntry, step: workflow_pb2.Step) -> tuple:
+def _kind(entry: job_entry.JobEntry, step: workflow_pb2.Step) -> tuple:
     """Returns what decides, apart from amounts, where tasks fit."""
     image = step.image if step.fills else ""
     return (
@@ -245,7 +248,7 @@
 
 
 def _eligible_workers(
-    entry: job_table.JobEntry,
+    entry: job_entry.JobEntry,
     step: workflow_pb2.Step,
     usable: list[worker_table.Worker],
 ) -> list[worker_table.Worker]:
--- a/packages/wisterialug-core/src/wisterialug_core/workflow/urgency.py
+++ b/packages/wisterialug-core/src/wisterialug_core/workflow/urgency.py
@@ -13,11 +13,11 @@
 
 if TYPE_CHECKING:
     from wisterialug_core.schema import workflow_pb2
-    from wisterialug_core.workflow import job_table
+    from wisterialug_core.workflow import job_entry
 
 # Returns the sort key of a waiting group, the lowest first, from its job, the
 # group and the Unix time in ms.
-Order = Callable[["job_table.JobEntry", model.GroupKey, int], tuple]
+Order = Callable[["job_entry.JobEntry", model.GroupKey, int], tuple]
 
 # By the users' payoff rules, a job is of no use any more after this many times
 # its objective.
@@ -46,7 +46,7 @@
     return max(ends, default=0)
 
 
-def remaining_ms(entry: job_table.JobEntry, group: model.GroupKey) -> float:
+def remaining_ms(entry: job_entry.JobEntry, group: model.GroupKey) -> float:
     """Returns the declared time from the start of a group to the job's end."""
     steps = entry.job.steps
     after = [0.0] * len(steps)
@@ -75,7 +75,7 @@
 
 
 def order(
-    entry: job_table.JobEntry, group: model.GroupKey, now_ms: int
+    entry: job_entry.JobEntry, group: model.GroupKey, now_ms: int
 ) -> tuple[int, int, int, float]:
     """Returns the sort key of a waiting group, the lowest first.
 
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/election.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/election.py
@@ -361,7 +361,7 @@
             self._calls,
             self._registry,
             self._keeper,
-            functools.partial(self._free_millicores_elsewhere, name),
+            functools.partial(self._other_shards, name),
         )
         self._owned[name] = shard_owner
         for other in self._shards.values():
@@ -369,11 +369,11 @@
             other.claim_s = 0.0
         self._greenlets.spawn(self._run, name, shard_owner)
 
-    def _free_millicores_elsewhere(self, name: str) -> dict[str, int]:
-        """Returns the free millicores of other shards with a live owner."""
+    def _other_shards(self, name: str) -> dict[str, workflow_pb2.Ownership]:
+        """Returns the other shards that have a live owner."""
         now_s = clock.now_s()
         return {
-            other: shard.ownership.room_millicores
+            other: shard.ownership
             for other, shard in self._shards.items()
             if other != name
             and shard.ownership.owner
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/intake.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/intake.py
@@ -117,10 +117,13 @@
         job.policy.CopyFrom(route.policy)
         job.accepted_ms = clock.wall_ms()
         job.shard = self._choose_shard(job)
-        ref = records.job(job.id)
+        place = workflow_pb2.Job(id=job.id, shard=job.shard)
         transaction = row_store.Transaction(
-            conditions=((ref, 0),),
-            writes=((ref, job.SerializeToString()),),
+            conditions=((records.accepted(job.id), 0),),
+            writes=(
+                (records.accepted(job.id), place.SerializeToString()),
+                (records.job(job.id, job.shard), job.SerializeToString()),
+            ),
         )
         begun_s = clock.now_s()
         if self._store.outage_s() > STORE_OUTAGE_S:
@@ -192,23 +195,30 @@
             response = self._recorded_state(likely, job_id, until_s)
             if response is not None:
                 return response
-        inbox = self._read(records.job(job_id), until_s)
-        if inbox is None:
+        shard = self._read_shard(job_id, until_s)
+        if isinstance(shard, Response):
+            return shard
+        if shard != likely:
+            response = self._recorded_state(shard, job_id, until_s)
+            if response is not None:
+                return response
+        return Response(Outcome.OK, workflow_pb2.JOB_QUEUED)
+
+    def _read_shard(self, job_id: str, until_s: float) -> str | Response:
+        """Reads the shard of a job; a response if there is none or no reply."""
+        accepted = self._read(records.accepted(job_id), until_s)
+        if accepted is None:
             return self._refuse_unread(job_id)
-        if not inbox.rows:
-            logs.event("job-unknown", job=job_id, version=inbox.version)
+        if not accepted.rows:
+            logs.event("job-unknown", job=job_id, version=accepted.version)
             return Response(Outcome.NO_JOB)
         try:
-            shard = workflow_pb2.Job.FromString(inbox.rows[0].value).shard
+            shard = workflow_pb2.Job.FromString(accepted.rows[0].value).shard
         except message.DecodeError as exc:
             logs.warning("job-unreadable", job=job_id, error=str(exc))
             return self._refuse_unread(job_id)
         self._cache_shard(job_id, shard)
-        if shard != likely:
-            response = self._recorded_state(shard, job_id, until_s)
-            if response is not None:
-                return response
-        return Response(Outcome.OK, workflow_pb2.JOB_QUEUED)
+        return shard
 
     def _recorded_state(
         self, shard: str, job_id: str, until_s: float
@@ -229,12 +239,10 @@
     def cancel(self, job_id: str, timeout_s: float) -> Response:
         """Cancels a job; on success the cancellation is durable."""
         until_s = clock.now_s() + timeout_s - RESPONSE_MARGIN_S
-        inbox = self._read(records.job(job_id), until_s)
-        if inbox is None:
-            return self._refuse_unread(job_id)
-        if not inbox.rows:
-            return Response(Outcome.NO_JOB)
-        ref = records.cancel(job_id)
+        shard = self._read_shard(job_id, until_s)
+        if isinstance(shard, Response):
+            return shard
+        ref = records.cancel(job_id, shard)
         response = self._write(
             row_store.Transaction(
                 conditions=((ref, 0),), writes=((ref, b"1"),)
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/owner.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/owner.py
@@ -25,8 +25,8 @@
     errors,
     lender,
     pool,
-    records,
     shard_feeds,
+    shard_recorder,
     shard_store,
     worker_session,
 )
@@ -34,6 +34,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Mapping
 
+    from wisterialug_core.workflow import job_entry
     from wisterialug_daemon.workflow import (
         layout_keeper,
         row_store,
@@ -53,10 +54,6 @@
 COMMIT_SPACING_S = 0.02
 # A process that lost or released a shard does not claim it for this time.
 CLAIM_BACKOFF_S = 4.0
-PRUNE_INTERVAL_S = 5.0
-MAX_PRUNED_ROWS = 20
-# Bounds how much learned interference is lost at a takeover.
-EFFECTS_SAVE_INTERVAL_S = 3.0
 PARTITION_CHECK_DELAY_S = 5.0
 # Share of unreachable workers at which the shard is released: another VM may
 # reach more of them.
@@ -79,7 +76,7 @@
         calls: worker_calls.WorkerCalls,
         registry: sources.WorkerRegistry,
         keeper: layout_keeper.LayoutKeeper,
-        free_millicores: Callable[[], Mapping[str, int]],
+        room_elsewhere: Callable[[], Mapping[str, workflow_pb2.Ownership]],
     ) -> None:
         self.cfg = cfg
         self.rows = rows
@@ -95,12 +92,11 @@
         self._sessions: dict[str, worker_session.WorkerSession] = {}
         self._dispatcher = dispatcher.Dispatcher(self)
         self._lender = lender.Lender(
-            rows.shard, self.shard_jobs, keeper, free_millicores
+            rows.shard, self.shard_jobs, store, keeper, room_elsewhere
         )
+        self._recorder = shard_recorder.ShardRecorder(self, self._lender)
         self._pending: list[step_placement.Placement] = []
         self._wake = eventlet.event.Event()
-        self._pruned_s = clock.now_s()
-        self._effects_saved_s = clock.now_s()
         self._stopping = False
 
     # State for the worker sessions and the dispatcher.
@@ -195,10 +191,9 @@
                 for task in self.shard_jobs.restore(entry, progress):
                     self._adopt(task)
                     adopted += 1
-        for loan in content.inbox.loans:
-            self.shard_jobs.borrow(loan)
-        for job in content.inbox.cancelled:
-            self.shard_jobs.cancel(job, clock.wall_ms())
+        self.apply_inbox(content.inbox)
+        for entry in list(self.shard_jobs.jobs.values()):
+            self.shard_jobs.close_if_ended(entry, clock.wall_ms())
         logs.event(
             "shard-loaded",
             shard=self.rows.shard,
@@ -210,6 +205,21 @@
         )
         return result.Ok(None)
 
+    def apply_inbox(self, inbox: shard_store.Inbox) -> None:
+        """Applies what others have written for this shard."""
+        now_ms = clock.wall_ms()
+        for job in inbox.jobs:
+            self.shard_jobs.add(job)
+        for loan in inbox.loans:
+            self._lender.borrow(loan)
+        for loan_result in inbox.results:
+            entry = self._lender.apply_result(loan_result)
+            if entry is not None and entry.final:
+                self._log_job_end(entry)
+        for job in inbox.cancelled:
+            if self.shard_jobs.cancel(job, now_ms):
+                logs.event("job-cancelled", job=job, shard=self.rows.shard)
+
     def _adopt(self, task: model.Task) -> None:
         if task.worker not in self.shard_workers.workers:
             self.shard_workers.update(
@@ -288,19 +298,23 @@
                 why=why,
             )
         entry = self.shard_jobs.jobs[task.key.job]
-        if entry.final and end in {model.RunEnd.DONE, model.RunEnd.FAILED}:
-            state = workflow_pb2.JobState.Name(entry.state)
-            took_ms = entry.ended_ms - entry.job.accepted_ms
-            metrics.JOB_SECONDS.labels(state).observe(took_ms / 1000)
-            logs.event(
-                "job-ended",
-                job=entry.job.id,
-                state=state,
-                took_ms=took_ms,
-                objective_ms=int(urgency.objective_ms(entry.job)),
-            )
+        if entry.home and entry.final:
+            if end in {model.RunEnd.DONE, model.RunEnd.FAILED}:
+                self._log_job_end(entry)
         self.wake()
 
+    def _log_job_end(self, entry: job_entry.JobEntry) -> None:
+        state = workflow_pb2.JobState.Name(entry.state)
+        took_ms = entry.ended_ms - entry.job.accepted_ms
+        metrics.JOB_SECONDS.labels(state).observe(took_ms / 1000)
+        logs.event(
+            "job-ended",
+            job=entry.job.id,
+            state=state,
+            took_ms=took_ms,
+            objective_ms=int(urgency.objective_ms(entry.job)),
+        )
+
     def _stop_gang(self, ended: model.Task) -> None:
         """Stops the other members, which can't proceed without this one."""
         entry = self.shard_jobs.jobs[ended.key.job]
@@ -339,37 +353,18 @@
 
     def _commit(self, renewal_due: bool) -> None:
         """Commits changes, then sends the starts that depend on them."""
-        jobs = list(self.shard_jobs.dirty)[: shard_store.MAX_ROWS_PER_COMMIT]
-        self.shard_jobs.dirty.difference_update(jobs)
+        taken = self._recorder.take_jobs()
         for session in self._sessions.values():
-            session.begin_commit(jobs)
-        committed = set(jobs)
-        shard = self.rows.shard
-        writes = [
-            (
-                records.progress(shard, job),
-                self.shard_jobs.progress(job).SerializeToString(),
-            )
-            for job in jobs
-        ]
-        now_s = clock.now_s()
-        if now_s - self._effects_saved_s >= EFFECTS_SAVE_INTERVAL_S:
-            self._effects_saved_s = now_s
-            learned = self.interference.to_message().SerializeToString()
-            writes.append((records.effects(shard), learned))
-        writes += self._lender.take_rows(jobs)
-        renewal = self._renewal() if renewal_due else None
-        outcome = self.rows.change(
-            writes, self._prunable(), renewal, lambda: not self.lost
-        )
+            session.begin_commit(taken)
+        outcome = self._recorder.commit(taken, renewal_due=renewal_due)
         if outcome.is_err():
             self.lose(str(outcome.err_value))
             return
         for session in self._sessions.values():
             session.finish_commit()
-        ready = [p for p in self._pending if p.task.key.job in committed]
+        ready = [p for p in self._pending if p.task.key.job in taken]
         self._pending = [
-            p for p in self._pending if p.task.key.job not in committed
+            p for p in self._pending if p.task.key.job not in taken
         ]
         self._log_placed(ready, outcome.ok_value)
         for start in ready:
@@ -399,51 +394,6 @@
                 objective_ms=int(urgency.objective_ms(job)),
             )
 
-    def _renewal(self) -> workflow_pb2.Ownership:
-        shard = self.rows.shard
-        now_s = clock.now_s()
-        backlog_core_ms = self.shard_jobs.backlog_core_ms()
-        metrics.SHARD_EPOCH.labels(shard).set(self.epoch)
-        metrics.SHARD_JOBS.labels(shard).set(len(self.shard_jobs.open_jobs))
-        metrics.SHARD_BACKLOG.labels(shard).set(backlog_core_ms / 1000)
-        return workflow_pb2.Ownership(
-            owner=self.cfg.owner_id,
-            epoch=self.epoch,
-            renewal=self.rows.ownership.renewal + 1,
-            waiting=self.shard_jobs.waiting_by_route(),
-            backlog_core_ms=backlog_core_ms,
-            capacity_millicores=self.shard_workers.capacity_millicores(now_s),
-            room_millicores=self.shard_workers.room_millicores(now_s)
-            - self.shard_jobs.waiting_long_running_millicores(clock.wall_ms()),
-        )
-
-    def _prunable(self) -> list[row_store.RowRef]:
-        """Returns rows of ended jobs whose retention period has passed."""
-        now_s = clock.now_s()
-        if now_s - self._pruned_s < PRUNE_INTERVAL_S:
-            return []
-        self._pruned_s = now_s
-        before_ms = clock.wall_ms() - self.cfg.state_kept_s * 1000
-        removes = []
-        for job, entry in list(self.shard_jobs.jobs.items()):
-            if not entry.final or entry.active or entry.ended_ms > before_ms:
-                continue
-            if job in self.shard_jobs.dirty:
-                continue
-            loans = self._lender.rows_of(job)
-            self.shard_jobs.drop(job)
-            shard = self.rows.shard
-            removes.append(records.progress(shard, job))
-            removes += loans
-            if not entry.home:
-                continue
-            removes.append(records.job(job))
-            if entry.cancelled:
-                removes.append(records.cancel(job))
-            if len(removes) >= MAX_PRUNED_ROWS - 2:
-                break
-        return removes
-
     def _is_partitioned(self, now_s: float) -> bool:
         if now_s - self.acquired_s < PARTITION_CHECK_DELAY_S:
             return False
@@ -457,9 +407,5 @@
 
     def _release(self) -> None:
         """Commits pending changes and releases the shard."""
-        while self.shard_jobs.dirty and not self.lost:
-            self._commit(renewal_due=False)
-        renewal = self._renewal()
-        renewal.owner = ""
-        self.rows.change([], [], renewal, lambda: not self.lost)
+        self._recorder.release()
         self.lose("released")
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/records.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/records.py
@@ -6,8 +6,8 @@
 
 from wisterialug_daemon.workflow import row_store
 
-# Written once, by the VM that accepts a job or its cancellation.
-INBOX_TABLE = "inbox"
+# The shard of each accepted job; written once, by the VM that accepts it.
+JOBS_TABLE = "jobs"
 # Written by the owner of the shard only.
 PROGRESS_TABLE = "progress"
 OWNERS_TABLE = "owners"
@@ -17,23 +17,40 @@
 # With 16 parts, a store that takes 250 ms for each change still accepts 60 jobs
 # per second.
 INBOX_PARTS = 16
+# The platform keeps at most 100 tables; shards beyond share them.
+INBOX_TABLES = 64
 
 JOB_PREFIX = "job:"
 CANCEL_PREFIX = "cancel:"
 LOAN_PREFIX = "loan:"
+RESULT_PREFIX = "result:"
+
+
+SHARD_PREFIX = "s"
 
 
 def shard_name(number: int) -> str:
     """Returns the name of a shard."""
-    return f"s{number}"
+    return f"{SHARD_PREFIX}{number}"
 
 
 # Its owner assigns new racks; the only shard until there are many workers.
 FIRST_SHARD = shard_name(0)
 
 
+def inbox_table(shard: str) -> str:
+    """Returns the table of a shard's inbox.
+
+    It holds what others write for the shard's owner: jobs, cancellations, loans
+    and results. An owner that followed one inbox of all shards would read more
+    the larger the system is.
+    """
+    number = int(shard.removeprefix(SHARD_PREFIX))
+    return f"inbox-{number % INBOX_TABLES}"
+
+
 def inbox_parts() -> list[str]:
-    """Returns the parts of the inbox, which all shards share.
+    """Returns the parts of an inbox.
 
     The store serializes the changes of a part: with a single part on a slow
     store, callers would wait for each other, and owners for callers.
@@ -41,31 +58,39 @@
     return [f"{number:02}" for number in range(INBOX_PARTS)]
 
 
-def _inbox_part(job_id: str) -> str:
+def _job_part(job_id: str) -> str:
     return f"{zlib.crc32(job_id.encode()) % INBOX_PARTS:02}"
 
 
-def job(job_id: str) -> row_store.RowRef:
-    """Names the row of a submitted job."""
-    return row_store.RowRef(
-        INBOX_TABLE, _inbox_part(job_id), JOB_PREFIX + job_id
-    )
+def accepted(job_id: str) -> row_store.RowRef:
+    """Names the row that tells the shard of a job."""
+    return row_store.RowRef(JOBS_TABLE, _job_part(job_id), job_id)
 
 
-def cancel(job_id: str) -> row_store.RowRef:
-    """Names the row that records a job's cancellation."""
-    return row_store.RowRef(
-        INBOX_TABLE, _inbox_part(job_id), CANCEL_PREFIX + job_id
-    )
+def job(job_id: str, shard: str) -> row_store.RowRef:
+    """Names the row of a submitted job in its shard's inbox."""
+    return _inbox_row(shard, job_id, JOB_PREFIX + job_id)
+
+
+def cancel(job_id: str, shard: str) -> row_store.RowRef:
+    """Names the row that tells a shard of a job's cancellation."""
+    return _inbox_row(shard, job_id, f"{CANCEL_PREFIX}{job_id}:{shard}")
 
 
 def loan(job_id: str, from_shard: str, to_shard: str) -> row_store.RowRef:
     """Names the row of a job's tasks that one shard lends to another."""
-    return row_store.RowRef(
-        INBOX_TABLE,
-        _inbox_part(job_id),
-        f"{LOAN_PREFIX}{job_id}:{from_shard}:{to_shard}",
-    )
+    key = f"{LOAN_PREFIX}{job_id}:{from_shard}:{to_shard}"
+    return _inbox_row(to_shard, job_id, key)
+
+
+def result(job_id: str, from_shard: str, to_shard: str) -> row_store.RowRef:
+    """Names the row of the results of tasks that a shard has borrowed."""
+    key = f"{RESULT_PREFIX}{job_id}:{from_shard}:{to_shard}"
+    return _inbox_row(to_shard, job_id, key)
+
+
+def _inbox_row(shard: str, job_id: str, key: str) -> row_store.RowRef:
+    return row_store.RowRef(inbox_table(shard), _job_part(job_id), key)
 
 
 def member(node: str) -> row_store.RowRef:
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/shard_feeds.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/shard_feeds.py
@@ -7,7 +7,7 @@
 import eventlet
 
 from wisterialug_daemon import logs
-from wisterialug_daemon.workflow import clock, errors, records, shard_store
+from wisterialug_daemon.workflow import errors, records, shard_store
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -131,7 +131,9 @@
     def _watch_inbox(self) -> None:
         while not self._owner.lost:
             outcome = self._store.watch(
-                records.INBOX_TABLE, self.inbox_cursor, WATCH_WAIT_S
+                records.inbox_table(self._owner.rows.shard),
+                self.inbox_cursor,
+                WATCH_WAIT_S,
             )
             if outcome.is_err():
                 if isinstance(outcome.err_value, errors.HistoryLostError):
@@ -150,21 +152,6 @@
 
     def _apply_inbox(self, rows: Iterable[row_store.Row]) -> None:
         inbox = shard_store.decode_inbox(rows, self._owner.rows.shard)
-        for job in inbox.jobs:
-            self._owner.shard_jobs.add(job)
-        for loan in inbox.loans:
-            if self._owner.shard_jobs.borrow(loan):
-                logs.event(
-                    "tasks-borrowed",
-                    job=loan.job.id,
-                    shard=loan.to_shard,
-                    of=loan.from_shard,
-                    tasks=len(loan.tasks),
-                )
-        for job in inbox.cancelled:
-            if self._owner.shard_jobs.cancel(job, clock.wall_ms()):
-                logs.event(
-                    "job-cancelled", job=job, shard=self._owner.rows.shard
-                )
-        if inbox.jobs or inbox.loans or inbox.cancelled:
+        if inbox:
+            self._owner.apply_inbox(inbox)
             self._owner.wake()
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/shard_store.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/shard_store.py
@@ -25,7 +25,8 @@
 PARALLEL_SCANS = 8
 FIRST_RETRY_S = 0.05
 MAX_RETRY_S = 0.4
-# The platform accepts 100 entries per call; the owner adds its own rows.
+# The platform accepts 100 entries per call; the owner adds rows of its own and
+# removes old ones.
 MAX_ROWS_PER_COMMIT = 70
 
 
@@ -40,13 +41,19 @@
     Attributes:
       jobs: Its new jobs.
       loans: Tasks that other shards lend to it.
-      cancelled: Ids of cancelled jobs, of any shard.
+      results: What other shards report of tasks lent to them.
+      cancelled: Ids of cancelled jobs, its own and borrowed ones.
     """
 
     jobs: list[workflow_pb2.Job]
     loans: list[workflow_pb2.Loan]
+    results: list[workflow_pb2.LoanResult]
     cancelled: list[str]
 
+    def __bool__(self) -> bool:
+        """Returns whether there is any row."""
+        return bool(self.jobs or self.loans or self.results or self.cancelled)
+
 
 @dataclasses.dataclass
 class ShardContent:
@@ -130,7 +137,10 @@
         pool = eventlet.GreenPool(PARALLEL_SCANS)
         for part in pool.imap(
             lambda name: row_store.scan_all(
-                self._store, records.INBOX_TABLE, name, SCAN_TIMEOUT_S
+                self._store,
+                records.inbox_table(self.shard),
+                name,
+                SCAN_TIMEOUT_S,
             ),
             records.inbox_parts(),
         ):
@@ -233,7 +243,7 @@
 
 def decode_inbox(rows: Iterable[row_store.Row], shard: str) -> Inbox:
     """Decodes the inbox rows that concern a shard."""
-    inbox = Inbox([], [], [])
+    inbox = Inbox([], [], [], [])
     for row in rows:
         key = row.ref.key
         if key.startswith(records.JOB_PREFIX):
@@ -244,6 +254,14 @@
             loan = workflow_pb2.Loan.FromString(row.value)
             if loan.to_shard == shard:
                 inbox.loans.append(loan)
+        elif key.startswith(records.RESULT_PREFIX):
+            result_row = workflow_pb2.LoanResult.FromString(row.value)
+            if result_row.to_shard == shard:
+                inbox.results.append(result_row)
         elif key.startswith(records.CANCEL_PREFIX):
-            inbox.cancelled.append(key.removeprefix(records.CANCEL_PREFIX))
+            job_id, _, target = key.removeprefix(
+                records.CANCEL_PREFIX
+            ).partition(":")
+            if target == shard:
+                inbox.cancelled.append(job_id)
     return inbox
--- a/packages/wisterialug-standins/src/wisterialug_standins/order_experiment.py
+++ b/packages/wisterialug-standins/src/wisterialug_standins/order_experiment.py
@@ -18,6 +18,7 @@
 from wisterialug_core.schema import workflow_pb2
 from wisterialug_core.workflow import (
     fill_interference,
+    job_entry,
     job_table,
     model,
     step_placement,
@@ -124,14 +125,14 @@
 
 
 def _by_arrival(
-    entry: job_table.JobEntry, group: model.GroupKey, now_ms: int
+    entry: job_entry.JobEntry, group: model.GroupKey, now_ms: int
 ) -> tuple:
     del group, now_ms
     return (entry.job.accepted_ms,)
 
 
 def _by_deadline(
-    entry: job_table.JobEntry, group: model.GroupKey, now_ms: int
+    entry: job_entry.JobEntry, group: model.GroupKey, now_ms: int
 ) -> tuple:
     del group, now_ms
     due_ms = entry.job.accepted_ms + urgency.objective_ms(entry.job)
@@ -139,7 +140,7 @@
 
 
 def _by_work(
-    entry: job_table.JobEntry, group: model.GroupKey, now_ms: int
+    entry: job_entry.JobEntry, group: model.GroupKey, now_ms: int
 ) -> tuple:
     stage, priority, _, latest_ms = urgency.order(entry, group, now_ms)
     work = sum(
@@ -150,7 +151,7 @@
 
 
 def _by_latest_start(
-    entry: job_table.JobEntry, group: model.GroupKey, now_ms: int
+    entry: job_entry.JobEntry, group: model.GroupKey, now_ms: int
 ) -> tuple:
     stage, priority, _, latest_ms = urgency.order(entry, group, now_ms)
     return stage, priority, latest_ms
--- a/tests/test_daemon/test_workflow_shards.py
+++ b/tests/test_daemon/test_workflow_shards.py
@@ -148,6 +148,71 @@
         self.check_invariants()
 
 
+class WideStepTest(_ShardsTestCase):
+    """A step with more tasks than the workers of its shard can hold."""
+
+    duration_s = 1.0
+    # A shard of 40 workers of 16 processors holds 80 of them.
+    TASKS = 120
+
+    def submit_wide(self):
+        # Shards report what they can take with each renewal.
+        eventlet.sleep(1)
+        return self.submit(
+            step(self.TASKS, cpu_millicores=8000), step(2, after=[0])
+        )
+
+    def shards_used(self):
+        layout = self.any_node().election.layout
+        return {
+            layout.shard_of(self.fleet.reports[run.worker])
+            for run in self.fleet.history
+        }
+
+    def test_step_runs_in_both_shards_at_once(self):
+        self.start_shards()
+        job = self.submit_wide()
+        self.wait_for(lambda: len(self.active_runs()) == self.TASKS, 5)
+        self.assertEqual({0, 1}, self.shards_used())
+        self.wait_for_state(job, workflow_pb2.JOB_COMPLETED)
+        self.assertEqual(self.TASKS + 2, len(self.fleet.history))
+        self.check_invariants()
+
+    def test_all_vms_are_killed_while_tasks_are_lent(self):
+        self.start_shards()
+        job = self.submit_wide()
+        self.wait_for(lambda: len(self.active_runs()) == self.TASKS, 5)
+        for name in list(self.nodes):
+            self.kill_node(name)
+        for name in ("n7", "n8"):
+            self.start_node(name)
+        self.wait_for_state(job, workflow_pb2.JOB_COMPLETED, 25)
+        self.check_invariants()
+
+    def test_cancel_reaches_the_borrowing_shard(self):
+        self.duration_s = 30
+        self.start_shards()
+        job = self.submit_wide()
+        self.wait_for(lambda: len(self.active_runs()) == self.TASKS, 5)
+        self.cancel(job)
+        self.wait_for(lambda: not self.active_runs(), 3)
+        self.check_invariants()
+
+    def test_borrower_full_of_lost_workers_gives_tasks_back(self):
+        self.duration_s = 30
+        self.start_shards()
+        job = self.submit_wide()
+        self.wait_for(lambda: len(self.active_runs()) == self.TASKS, 5)
+        home = int(self.jobs[job].shard.removeprefix("s"))
+        layout = self.any_node().election.layout
+        self.duration_s = 1.0
+        for name, worker in list(self.fleet.workers.items()):
+            if layout.shard_of(worker.report) != home:
+                self.fleet.crash(name)
+        self.wait_for_state(job, workflow_pb2.JOB_COMPLETED, 25)
+        self.check_invariants()
+
+
 class MixedShardsTest(_ShardsTestCase):
     """Random faults with jobs of all kinds, by seed."""
 
@@ -237,3 +302,17 @@
         for worker in self.fleet.workers.values():
             worker.unreachable = False
             worker.late_order_rate = 0.0
+
+
+class MixedLoansTest(MixedShardsTest):
+    """The same with steps that are wider than a shard."""
+
+    SEEDS = os.environ.get("WISTERIALUG_MIXED_SEEDS", "51").split(",")
+
+    def random_steps(self):
+        if self.rng.randrange(3):
+            return super().random_steps()
+        return [
+            step(100, cpu_millicores=8000),
+            step(20, after=[0], cpu_millicores=4000, max_per_worker=1),
+        ]
--- a/tests/test_daemon/workflow_base.py
+++ b/tests/test_daemon/workflow_base.py
@@ -185,10 +185,7 @@
 
 def step(count=1, **fields):
     """Returns a step of small tasks."""
+    fields.setdefault("cpu_millicores", 1000)
     return workflow_pb2.Step(
-        count=count,
-        cpu_millicores=1000,
-        memory_mib=100,
-        estimate_ms=200,
-        **fields,
+        count=count, memory_mib=100, estimate_ms=200, **fields
     )
