--- a/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/lender.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/lender.py
@@ -15,12 +15,12 @@
     from wisterialug_core.workflow import job_entry, job_table, model
     from wisterialug_daemon.workflow import layout_keeper, row_store
 
-CHECK_INTERVAL_S = 0.1
+CHECK_INTERVAL_S = 0.05
 # Within this time a waiting long-running task mostly gets room in its own
 # shard: finite runs take about a second, and their room is kept for it.
 LEND_LONG_RUNNING_AFTER_S = 1.0
-# Finite tasks are lent after one more placement round. A loan takes some 50 ms.
-LEND_FINITE_AFTER_S = 0.1
+# Finite tasks are lent in the first check that finds them waiting: how soon room
+# falls free here is not known, and a loan takes some 50 ms.
 # Borrowed tasks that do not start go back: their own shard may have room again.
 GIVE_BACK_AFTER_S = 1.0
 # Groups of waiting tasks that one check considers; bounds its duration.
@@ -48,7 +48,6 @@
         self._others = others
         self._checked_s = 0.0
         self._waiting_since_s: dict[model.TaskKey, float] = {}
-        self._group_since_s: dict[model.GroupKey, float] = {}
         # Target shards of uncommitted loans, by job.
         self._uncommitted: dict[str, set[str]] = {}
         # Free millicores that each shard reported last, and those lent since.
@@ -106,7 +105,7 @@
                 reported = free_millicores[shard]
                 lent = reported - self._free_millicores(shard, reported)
                 self._lent[shard] = (reported, lent + needs[task.key])
-                self._lend(task, shard)
+                self._lend([task], shard)
 
     def _free_millicores(self, shard: str, reported: int) -> int:
         """Returns a shard's reported room less what was lent to it since."""
@@ -123,21 +122,20 @@
     def _lend_finite(
         self, now_s: float, others: Mapping[str, workflow_pb2.Ownership]
     ) -> None:
+        if not any(
+            any(ownership.free_slots) or ownership.fill_room_millicores
+            for ownership in others.values()
+        ):
+            return
         groups = step_placement.pending_groups(
             self._jobs, now_s, clock.wall_ms()
         )[:MAX_GROUPS_PER_CHECK]
-        self._group_since_s = {
-            group: self._group_since_s.get(group, now_s) for group, _ in groups
-        }
         waiting = []
         for group, tasks in groups:
             entry = self._jobs.jobs[group.job]
             step = entry.job.steps[group.step]
-            waited_s = now_s - self._group_since_s[group]
-            if (
-                entry.home
-                and not (step.long_running or step.gang or step.data_rack)
-                and waited_s > LEND_FINITE_AFTER_S
+            if entry.home and not (
+                step.long_running or step.gang or step.data_rack
             ):
                 eligible = self._eligible(
                     entry.job.policy.service, step.required_label
@@ -149,8 +147,12 @@
             name: self._offer(name, ownership)
             for name, ownership in others.items()
         }
+        chosen: dict[tuple[str, model.GroupKey], list[model.Task]] = {}
         for task, shard in lending.choose_finite(waiting, offers):
-            self._lend(task, shard)
+            key = shard, model.GroupKey(*task.key[:3])
+            chosen.setdefault(key, []).append(task)
+        for (shard, _), tasks in chosen.items():
+            self._lend(tasks, shard)
 
     def _offer(
         self, shard: str, ownership: workflow_pb2.Ownership
@@ -164,15 +166,20 @@
             self._offers[shard] = (ownership.renewal, offer)
         return offer
 
-    def _lend(self, task: model.Task, shard: str) -> None:
-        self._loans.lend(task, shard)
-        self._uncommitted.setdefault(task.key.job, set()).add(shard)
+    def _lend(self, tasks: list[model.Task], shard: str) -> None:
+        """Lends tasks of one group."""
+        key = tasks[0].key
+        for task in tasks:
+            self._loans.lend(task, shard)
+        self._uncommitted.setdefault(key.job, set()).add(shard)
         logs.event(
-            "task-lent",
-            task=task.name,
+            "tasks-lent",
+            job=key.job,
+            repetition=key.repetition,
+            step=key.step,
+            tasks=[task.key.index for task in tasks],
             shard=self._shard,
             to=shard,
-            loans=task.loans,
         )
 
     # Borrowed tasks.
