--- a/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/lender.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/lender.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from wisterialug_core.workflow import lending, loans, step_placement
+from wisterialug_core.workflow import lending, loans, model, step_placement
 from wisterialug_daemon import logs
 from wisterialug_daemon.workflow import clock, records
 
@@ -12,7 +12,7 @@
     from collections.abc import Callable, Mapping
 
     from wisterialug_core.schema import workflow_pb2
-    from wisterialug_core.workflow import job_entry, job_table, model
+    from wisterialug_core.workflow import job_entry, job_table
     from wisterialug_daemon.workflow import layout_keeper, row_store
 
 CHECK_INTERVAL_S = 0.05
