--- a/packages/wisterialug-core/src/wisterialug_core/workflow/fill_interference.py
+++ b/packages/wisterialug-core/src/wisterialug_core/workflow/fill_interference.py
@@ -17,21 +17,15 @@
 import enum
 from typing import TYPE_CHECKING, NamedTuple
 
-from wisterialug_core.schema import workflow_pb2
+from wisterialug_core.workflow import interference_factors
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Mapping
 
-# Mean and variance of the factor of a pair without samples.
-PRIOR_FACTOR = 1.5
-PRIOR_VARIANCE = 4.0
-MAX_FACTOR = 20.0
 # Standard deviation of a change of utilisation within some two seconds, and of
 # a utilisation from its mean over all loads.
 CHANGE_STDDEV = 0.08
 LEVEL_STDDEV = 0.4
-# Added at each update, so that factors follow images that change.
-DRIFT_VARIANCE = 0.002
 # Time between two samples of a worker that are compared.
 MIN_SAMPLE_GAP_S = 0.5
 MAX_SAMPLE_GAP_S = 2.5
@@ -136,55 +130,21 @@
     MOVE = "move"
 
 
-class _Factor:
-    """Estimate of a factor, with its variance."""
-
-    __slots__ = ("mean", "variance")
-
-    def __init__(self) -> None:
-        self.mean = PRIOR_FACTOR
-        self.variance = PRIOR_VARIANCE
-
-
 class InterferenceModel:
-    """Factors by pair of images, learned on all workers of a shard."""
+    """Predicts tails from factors learned on all workers of a shard.
+
+    Attributes:
+      factors: Factors by pair of images.
+    """
 
     def __init__(self) -> None:
-        self._factors: dict[tuple[str, str], _Factor] = {}
-        # Shortest tail seen, by image.
-        self._floor_ms: dict[str, float] = {}
-
-    def to_message(self) -> workflow_pb2.Effects:
-        """Returns the learned state, for the next owner."""
-        message = workflow_pb2.Effects(floors_ms=self._floor_ms)
-        for (serving, fill), factor in self._factors.items():
-            message.pairs.add(
-                serving_image=serving,
-                fill_image=fill,
-                factor=factor.mean,
-                variance=factor.variance,
-            )
-        return message
-
-    def restore(self, message: workflow_pb2.Effects) -> None:
-        """Restores the state that an earlier owner learned."""
-        self._floor_ms.update(message.floors_ms)
-        for pair in message.pairs:
-            factor = _Factor()
-            factor.mean = pair.factor
-            factor.variance = pair.variance
-            self._factors[pair.serving_image, pair.fill_image] = factor
-
-    def factor(self, serving_image: str, fill_image: str) -> float:
-        """Returns the interference factor of a pair of images."""
-        factor = self._factors.get((serving_image, fill_image))
-        return factor.mean if factor else PRIOR_FACTOR
+        self.factors = interference_factors.FactorTable()
 
     def utilisation(
         self, image: str, tail_ms: float, target_ms: float
     ) -> float:
         """Returns the utilisation that a tail implies."""
-        floor_ms = self._floor_ms.get(image, PRIOR_FLOOR_RATIO * target_ms)
+        floor_ms = self.factors.floor_ms(image, PRIOR_FLOOR_RATIO * target_ms)
         return max(0.0, 1 - floor_ms / max(floor_ms, tail_ms))
 
     def learn(
@@ -204,12 +164,11 @@
         current: dict[str, float] = {}
         for image, image_tails in tails.items():
             worst = max(image_tails, key=lambda tail: tail.tail_ms)
-            floor_ms = self._floor_ms.get(
-                image, PRIOR_FLOOR_RATIO * worst.target_ms
-            )
-            # A task without load has no tail.
-            tails_ms = [t.tail_ms for t in image_tails if t.tail_ms]
-            self._floor_ms[image] = min(floor_ms, *tails_ms, floor_ms)
+            self.factors.lower_floor(image, PRIOR_FLOOR_RATIO * worst.target_ms)
+            for tail in image_tails:
+                # A task without load has no tail.
+                if tail.tail_ms:
+                    self.factors.lower_floor(image, tail.tail_ms)
             current[image] = self.utilisation(
                 image, worst.tail_ms, worst.target_ms
             )
@@ -364,7 +323,7 @@
         )
 
     def _planned_factor(self, image: str, fill_image: str) -> float:
-        factor = self.factor(image, fill_image)
+        factor = self.factors.mean(image, fill_image)
         return factor if factor >= NEGLIGIBLE_FACTOR else 0.0
 
     def _planned_inflation(
@@ -380,7 +339,8 @@
     def _inflation(self, image: str, shares: Mapping[str, float]) -> float:
         """Returns the factor by which fill runs multiply a utilisation."""
         return 1 + sum(
-            self.factor(image, fill) * share for fill, share in shares.items()
+            self.factors.mean(image, fill) * share
+            for fill, share in shares.items()
         )
 
     def _learn_level(
@@ -388,8 +348,8 @@
     ) -> None:
         if not any(used.values()):
             return
-        error = utilisation - PRIOR_LOAD * self._inflation(image, used)
         inputs = {fill: PRIOR_LOAD * share for fill, share in used.items()}
+        error = utilisation - PRIOR_LOAD - self._expected(image, inputs)
         self._update(image, inputs, error, LEVEL_STDDEV, utilisation)
 
     def _learn_changes(
@@ -408,13 +368,16 @@
                 change = used.get(fill, 0.0) - samples.used.get(fill, 0.0)
                 if change:
                     inputs[fill] = load * change
-            expected = sum(
-                value * self.factor(image, fill)
-                for fill, value in inputs.items()
-            )
-            error = utilisation - before - expected
+            error = utilisation - before - self._expected(image, inputs)
             self._update(image, inputs, error, CHANGE_STDDEV, utilisation)
 
+    def _expected(self, image: str, inputs: Mapping[str, float]) -> float:
+        """Returns the change of utilisation that this shard would predict."""
+        return sum(
+            value * self.factors.own_mean(image, fill)
+            for fill, value in inputs.items()
+        )
+
     def _update(
         self,
         image: str,
@@ -423,24 +386,9 @@
         stddev: float,
         utilisation: float,
     ) -> None:
-        """Corrects factors by a prediction error, uncertain ones most."""
         if utilisation >= SATURATED_UTILISATION and error < 0:
             return
-        factors = {
-            fill: self._factors.setdefault((image, fill), _Factor())
-            for fill in inputs
-        }
-        total = stddev * stddev + sum(
-            factors[fill].variance * value * value
-            for fill, value in inputs.items()
-        )
-        for fill, value in inputs.items():
-            factor = factors[fill]
-            gain = factor.variance * value / total
-            moved = factor.mean + gain * error
-            factor.mean = min(MAX_FACTOR, max(0.0, moved))
-            factor.variance *= 1 - gain * value
-            factor.variance += DRIFT_VARIANCE
+        self.factors.correct(image, inputs, error, stddev)
 
 
 def _over_target_s(samples: WorkerSamples, ratio: float, now_s: float) -> float:
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/owner.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/owner.py
@@ -28,6 +28,7 @@
     shard_feeds,
     shard_recorder,
     shard_store,
+    shared_effects,
     worker_session,
 )
 
@@ -94,6 +95,7 @@
         self._lender = lender.Lender(
             rows.shard, self.shard_jobs, store, keeper, room_elsewhere
         )
+        self._shared_effects = shared_effects.SharedEffects(self, store, keeper)
         self._recorder = shard_recorder.ShardRecorder(self, self._lender)
         self._pending: list[step_placement.Placement] = []
         self._wake = eventlet.event.Event()
@@ -150,6 +152,7 @@
             self.lose(f"loading failed: {loaded.err_value}")
             return
         self._feeds.start()
+        self.greenlets.supervise(self._shared_effects.run)
         try:
             while not self.lost:
                 self._wait_for_events()
@@ -179,7 +182,7 @@
             return loaded
         content = loaded.ok_value
         self._feeds.inbox_cursor = content.cursor
-        self.interference.restore(content.effects)
+        self.interference.factors.restore(content.effects)
         adopted = 0
         for job in content.inbox.jobs:
             self.shard_jobs.add(job)
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/shard_recorder.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/shard_recorder.py
@@ -65,7 +65,7 @@
         now_s = clock.now_s()
         if now_s - self._effects_saved_s >= EFFECTS_SAVE_INTERVAL_S:
             self._effects_saved_s = now_s
-            learned = self._owner.interference.to_message().SerializeToString()
+            learned = self._owner.interference.factors.to_message().SerializeToString()
             writes.append((records.effects(self._rows.shard), learned))
         renewal = self._renewal() if renewal_due else None
         return self._rows.change(
--- a/tests/test_core/test_workflow/test_fill_interference.py
+++ b/tests/test_core/test_workflow/test_fill_interference.py
@@ -45,9 +45,10 @@
         sim = SimulatedWorker()
         sim.train("heavy")
         sim.train("light")
-        self.assertGreater(sim.model.factor("s", "heavy"), 2.5)
+        self.assertGreater(sim.model.factors.mean("s", "heavy"), 2.5)
         self.assertLess(
-            sim.model.factor("s", "light"), fill_interference.NEGLIGIBLE_FACTOR
+            sim.model.factors.mean("s", "light"),
+            fill_interference.NEGLIGIBLE_FACTOR,
         )
 
     def test_only_harmless_images_may_be_placed(self):
@@ -144,9 +145,9 @@
         sim = SimulatedWorker()
         sim.train("heavy")
         other = fill_interference.InterferenceModel()
-        other.restore(sim.model.to_message())
+        other.factors.restore(sim.model.factors.to_message())
         self.assertAlmostEqual(
-            sim.model.factor("s", "heavy"),
-            other.factor("s", "heavy"),
+            sim.model.factors.mean("s", "heavy"),
+            other.factors.mean("s", "heavy"),
             places=4,
         )
