--- a/packages/wisterialug-core/src/wisterialug_core/workflow/loans.py
+++ b/packages/wisterialug-core/src/wisterialug_core/workflow/loans.py
@@ -114,15 +114,22 @@
         self._jobs.close_if_ended(self._jobs.jobs[task.key.job], now_ms)
 
     def result(self, job: str) -> workflow_pb2.LoanResult | None:
-        """Returns the results of a borrowed job's tasks; None without any."""
+        """Returns the results of a borrowed job's tasks; None without any.
+
+        Results of a step are sent once none of its tasks runs or waits here:
+        its job needs all of them before it goes on. A job that has failed is
+        reported at once.
+        """
         entry = self._jobs.jobs[job]
         if entry.home:
             return None
         records = [
             job_entry.record_of(task)
-            for task in _tasks(entry)
+            for group, tasks in entry.groups.items()
+            if not entry.job.steps[group.step].long_running
+            and (entry.final or not any(t.active or t.pending for t in tasks))
+            for task in tasks
             if task.loans
-            and not entry.job.steps[task.key.step].long_running
             and (task.done or task.failures or task.lent_to == job_entry.HOME)
         ]
         if not records:
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/owner.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/owner.py
@@ -197,6 +197,9 @@
         self.apply_inbox(content.inbox)
         for entry in list(self.shard_jobs.jobs.values()):
             self.shard_jobs.close_if_ended(entry, clock.wall_ms())
+            if not entry.home:
+                # Its results may not have been sent.
+                self.shard_jobs.dirty.add(entry.job.id)
         logs.event(
             "shard-loaded",
             shard=self.rows.shard,
--- a/tests/test_core/test_workflow/test_loans.py
+++ b/tests/test_core/test_workflow/test_loans.py
@@ -207,6 +207,24 @@
         state = self.home.jobs.jobs["j"].state
         self.assertEqual(workflow_pb2.JOB_COMPLETED, state)
 
+    def test_result_is_sent_when_the_step_has_no_task_left(self):
+        for index in range(2):
+            self.lend("s0", "s1", index)
+        self.run_task("s1", 0)
+        self.assertIsNone(self.result())
+        self.run_task("s1", 1)
+        self.assertEqual(2, len(self.result().tasks))
+
+    def test_result_that_was_not_sent_is_known_to_the_next_owner(self):
+        first = self.lend("s0", "s1", 0)
+        second = self.lend("s0", "s1", 1)
+        self.run_task("s1", 0)
+        other = self.restored("s1", first, second)
+        task = other.jobs.task(model.TaskKey("j", 0, 0, 1))
+        other.jobs.start(task, "w", 1, 0.0)
+        other.jobs.end(task, model.RunEnd.DONE, "", NOW_MS)
+        self.assertEqual(2, len(other.loans.result("j").tasks))
+
     def test_result_read_twice_or_late_changes_nothing(self):
         self.lend("s0", "s1", 1)
         self.run_task("s1", 1)
