Split the owner, placement, interference and emulator modules by job

Moves only: log lines of an owner, the rating of workers, samples of serving tasks and fill runs, one emulated worker.

--- a/packages/wisterialug-core/src/wisterialug_core/workflow/fill_interference.py
+++ b/packages/wisterialug-core/src/wisterialug_core/workflow/fill_interference.py
@@ -13,11 +13,10 @@
 
 from __future__ import annotations
 
-import dataclasses
 import enum
-from typing import TYPE_CHECKING, NamedTuple
+from typing import TYPE_CHECKING
 
-from wisterialug_core.workflow import interference_factors
+from wisterialug_core.workflow import fill_samples, interference_factors
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Mapping
@@ -60,67 +59,8 @@
 MIN_PACE_INTERVAL_S = 0.4
 # Smaller changes of pace are not worth an order.
 MIN_CHANGE_PERCENT = 10
-# A fill run is better moved after this time at this percentage or below.
+# A fill run is better moved after this time of throttling.
 MOVE_AFTER_S = 1.0
-THROTTLED_PERCENT = 40
-FULL_PERCENT = 100
-
-
-class ServingTail(NamedTuple):
-    """Tail latency of a serving task."""
-
-    image: str
-    tail_ms: float
-    target_ms: float
-
-
-@dataclasses.dataclass(slots=True)
-class FillRun:
-    """One fill run on a worker.
-
-    Attributes:
-      share: Part of the worker's processors that it requests.
-      used: Part that it used in the latest sample.
-      percent: Pace that was ordered last.
-      slow_since_s: Since when it is throttled; 0 if it is not.
-    """
-
-    image: str
-    share: float
-    used: float = 0.0
-    percent: int = FULL_PERCENT
-    slow_since_s: float = 0.0
-
-    def set_pace(self, percent: int, now_s: float) -> None:
-        """Records the pace that is ordered."""
-        self.percent = percent
-        if percent > THROTTLED_PERCENT:
-            self.slow_since_s = 0.0
-        elif not self.slow_since_s:
-            self.slow_since_s = now_s
-
-
-@dataclasses.dataclass(slots=True)
-class WorkerSamples:
-    """Latest samples of one worker and the reactions to them.
-
-    Attributes:
-      loads: Utilisation by serving image, without fill runs.
-      mean_loads: The same, as an exponential moving average.
-      targets: Utilisation by image at which the tail meets its target.
-      alarm_s: When the last alarm was raised.
-      over_target_since_s: Since when a tail is over its target; 0 if none is.
-    """
-
-    loads: dict[str, float] = dataclasses.field(default_factory=dict)
-    mean_loads: dict[str, float] = dataclasses.field(default_factory=dict)
-    targets: dict[str, float] = dataclasses.field(default_factory=dict)
-    sampled_s: float = 0.0
-    utilisation: dict[str, float] = dataclasses.field(default_factory=dict)
-    used: dict[str, float] = dataclasses.field(default_factory=dict)
-    paced_s: float = 0.0
-    over_target_since_s: float = 0.0
-    alarm_s: float = 0.0
 
 
 class Reaction(enum.Enum):
@@ -149,16 +89,16 @@
 
     def learn(
         self,
-        samples: WorkerSamples,
-        serving: list[ServingTail],
-        fills: list[FillRun],
+        samples: fill_samples.WorkerSamples,
+        serving: list[fill_samples.ServingTail],
+        fills: list[fill_samples.FillRun],
         now_s: float,
     ) -> None:
         """Learns from the samples of one worker."""
         used: dict[str, float] = {}
         for fill in fills:
             used[fill.image] = used.get(fill.image, 0.0) + fill.used
-        tails: dict[str, list[ServingTail]] = {}
+        tails: dict[str, list[fill_samples.ServingTail]] = {}
         for tail in serving:
             tails.setdefault(tail.image, []).append(tail)
         current: dict[str, float] = {}
@@ -196,7 +136,7 @@
 
     def feasible_pace(
         self,
-        samples: WorkerSamples,
+        samples: fill_samples.WorkerSamples,
         shares: Mapping[str, float],
         image: str,
         share: float,
@@ -224,9 +164,9 @@
 
     def react(
         self,
-        samples: WorkerSamples,
-        serving: list[ServingTail],
-        fills: dict[str, FillRun],
+        samples: fill_samples.WorkerSamples,
+        serving: list[fill_samples.ServingTail],
+        fills: dict[str, fill_samples.FillRun],
         now_s: float,
     ) -> dict[str, Reaction]:
         """Returns the reactions to the fill runs of a worker, by name.
@@ -265,7 +205,9 @@
         return reactions
 
     def any_interfering(
-        self, samples: WorkerSamples, fills: Iterable[FillRun]
+        self,
+        samples: fill_samples.WorkerSamples,
+        fills: Iterable[fill_samples.FillRun],
     ) -> bool:
         """Returns whether an unpaused fill run of a worker may interfere."""
         return any(
@@ -275,16 +217,18 @@
 
     def initial_pace(
         self,
-        samples: WorkerSamples,
-        fills: dict[str, FillRun],
-        new: FillRun,
+        samples: fill_samples.WorkerSamples,
+        fills: dict[str, fill_samples.FillRun],
+        new: fill_samples.FillRun,
     ) -> int:
         """Returns the pace at which a new fill run may start."""
         paces = self._paces(samples, fills)
         return next(paces[name] for name in fills if fills[name] is new)
 
     def _paces(
-        self, samples: WorkerSamples, fills: dict[str, FillRun]
+        self,
+        samples: fill_samples.WorkerSamples,
+        fills: dict[str, fill_samples.FillRun],
     ) -> dict[str, int]:
         """Returns the paces that keep each serving task under its limit."""
         room = {
@@ -310,10 +254,12 @@
                     part = min(part, max(0.0, room[image]) / cost)
             for image, cost in costs.items():
                 room[image] -= part * cost
-            paces[name] = int(part * FULL_PERCENT)
+            paces[name] = int(part * fill_samples.FULL_PERCENT)
         return paces
 
-    def _worst_factor(self, samples: WorkerSamples, fill: FillRun) -> float:
+    def _worst_factor(
+        self, samples: fill_samples.WorkerSamples, fill: fill_samples.FillRun
+    ) -> float:
         return max(
             (
                 self._planned_factor(image, fill.image)
@@ -354,7 +300,7 @@
 
     def _learn_changes(
         self,
-        samples: WorkerSamples,
+        samples: fill_samples.WorkerSamples,
         current: dict[str, float],
         used: dict[str, float],
     ) -> None:
@@ -391,7 +337,9 @@
         self.factors.correct(image, inputs, error, stddev)
 
 
-def _over_target_s(samples: WorkerSamples, ratio: float, now_s: float) -> float:
+def _over_target_s(
+    samples: fill_samples.WorkerSamples, ratio: float, now_s: float
+) -> float:
     """Returns for how long a tail has been over its target."""
     if ratio < 1:
         samples.over_target_since_s = 0.0
@@ -401,10 +349,14 @@
     return now_s - samples.over_target_since_s
 
 
-def _update_pace(fill: FillRun, percent: int, now_s: float) -> bool:
+def _update_pace(
+    fill: fill_samples.FillRun, percent: int, now_s: float
+) -> bool:
     """Sets a run's pace if that is worth an order; returns whether it is."""
     near = abs(percent - fill.percent) < MIN_CHANGE_PERCENT
-    if percent == fill.percent or (near and 0 < percent < FULL_PERCENT):
+    if percent == fill.percent or (
+        near and 0 < percent < fill_samples.FULL_PERCENT
+    ):
         return False
     fill.set_pace(percent, now_s)
     return True
--- a/packages/wisterialug-core/src/wisterialug_core/workflow/step_placement.py
+++ b/packages/wisterialug-core/src/wisterialug_core/workflow/step_placement.py
@@ -8,7 +8,6 @@
 from __future__ import annotations
 
 import dataclasses
-import heapq
 from typing import TYPE_CHECKING
 
 from wisterialug_core.decisions import resources
@@ -17,11 +16,10 @@
     job_table,
     model,
     urgency,
+    worker_rating,
 )
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
-
     from wisterialug_core.schema import workflow_pb2
     from wisterialug_core.workflow import job_entry, worker_table
 
@@ -142,7 +140,9 @@
                 self._interference,
             )
             return
-        queue = _Candidates(step, group, candidates, self._interference)
+        queue = worker_rating.Candidates(
+            step, group, candidates, self._interference
+        )
         for task in waiting:
             worker = queue.best()
             if worker is None:
@@ -165,7 +165,7 @@
         candidates: list[worker_table.Worker],
     ) -> None:
         """Places a run that is throttled to protect serving tasks."""
-        worker = _Candidates(
+        worker = worker_rating.Candidates(
             step, group, candidates, self._interference, throttled=True
         ).best()
         if worker is not None:
@@ -226,7 +226,10 @@
     step = entry.job.steps[group.step]
     usable = [w for w in workers.workers.values() if w.usable(now_s)]
     candidates = _eligible_workers(entry, step, usable)
-    return _Candidates(step, group, candidates, interference).best() is not None
+    return (
+        worker_rating.Candidates(step, group, candidates, interference).best()
+        is not None
+    )
 
 
 def _full_amount(step: workflow_pb2.Step) -> resources.Amount:
@@ -319,7 +322,7 @@
     run = max(t.run for t in tasks) + 1
     for pool in pools if step.same_rack else [candidates]:
         placements: list[Placement] = []
-        queue = _Candidates(step, group, pool, interference)
+        queue = worker_rating.Candidates(step, group, pool, interference)
         for task in tasks:
             worker = queue.best()
             if worker is None:
@@ -337,99 +340,3 @@
             task.worker = ""
             task.run = run - 1
     return []
-
-
-class _Candidates:
-    """Workers for tasks of one group, the best first.
-
-    A placement changes one worker's score only, so the others are rated once
-    for all tasks of the group.
-    """
-
-    def __init__(
-        self,
-        step: workflow_pb2.Step,
-        group: model.GroupKey,
-        workers: Iterable[worker_table.Worker],
-        interference: fill_interference.InterferenceModel,
-        *,
-        throttled: bool = False,
-    ) -> None:
-        self._step = step
-        self._group = group
-        self._need = job_table.reserved_amount(step)
-        self._interference = interference
-        self._throttled = throttled
-        self._heap: list[tuple[tuple, int, worker_table.Worker]] = []
-        for number, worker in enumerate(workers):
-            score = self._rate(worker)
-            if score is not None:
-                self._heap.append((score, number, worker))
-        heapq.heapify(self._heap)
-
-    def best(self) -> worker_table.Worker | None:
-        """Returns the best worker for one more task."""
-        return self._heap[0][2] if self._heap else None
-
-    def update(self, worker: worker_table.Worker) -> None:
-        """Rates the best worker again after a task was placed there."""
-        _, number, _ = heapq.heappop(self._heap)
-        score = self._rate(worker)
-        if score is not None:
-            heapq.heappush(self._heap, (score, number, worker))
-
-    def _rate(self, worker: worker_table.Worker) -> tuple | None:
-        """Rates a worker, the lowest best; None if a task does not fit."""
-        step = self._step
-        if not worker.has_room(self._need):
-            return None
-        if (
-            step.max_per_worker
-            and worker.step_counts.get(self._group, 0) >= step.max_per_worker
-        ):
-            return None
-        if not step.fills:
-            return _score(step, worker)
-        # Without samples of each serving image, interference is unknown.
-        if not self._throttled and worker.has_unsampled_serving():
-            return None
-        room = worker.fill_room_millicores()
-        if not self._throttled and room < step.cpu_millicores:
-            return None
-        pace = self._interference.feasible_pace(
-            worker.samples,
-            worker.fill_shares,
-            step.image,
-            worker.cpu_share(step),
-        )
-        if not self._throttled and pace < fill_interference.MIN_START_PACE:
-            return None
-        return _fill_score(step, worker, pace)
-
-
-def _fill_score(
-    step: workflow_pb2.Step, worker: worker_table.Worker, pace: float
-) -> tuple[bool, float, bool, int]:
-    """Rates a worker for fill work; the lowest is best.
-
-    Workers without serving tasks are left to fill tasks that interfere.
-    """
-    remote = bool(step.data_rack) and step.data_rack != worker.rack
-    return remote, -pace, not worker.serving, -worker.fill_room_millicores()
-
-
-def _score(
-    step: workflow_pb2.Step, worker: worker_table.Worker
-) -> tuple[bool, int, int]:
-    """Rates a worker for a task; the lowest is best.
-
-    Serving tasks share workers, so that the others are left to fill tasks that
-    would interfere with them.
-    """
-    remote = bool(step.data_rack) and step.data_rack != worker.rack
-    left = worker.free().cpu_millicores - step.cpu_millicores
-    if step.long_running:
-        # Workers with a single serving image suit more fill images.
-        others = sum(worker.serving.values()) - worker.serving[step.image]
-        return remote, others, left
-    return remote, 0, left - worker.fill_millicores
--- a/packages/wisterialug-core/src/wisterialug_core/workflow/worker_table.py
+++ b/packages/wisterialug-core/src/wisterialug_core/workflow/worker_table.py
@@ -8,7 +8,7 @@
 
 from wisterialug_core.decisions import resources
 from wisterialug_core.workflow import (
-    fill_interference,
+    fill_samples,
     health,
     job_table,
     leases,
@@ -60,8 +60,8 @@
     serving: collections.Counter[str] = dataclasses.field(
         default_factory=collections.Counter
     )
-    samples: fill_interference.WorkerSamples = dataclasses.field(
-        default_factory=fill_interference.WorkerSamples
+    samples: fill_samples.WorkerSamples = dataclasses.field(
+        default_factory=fill_samples.WorkerSamples
     )
     fill_shares: dict[str, float] = dataclasses.field(default_factory=dict)
 
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/fill_pacing.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/fill_pacing.py
@@ -6,7 +6,7 @@
 
 import eventlet
 
-from wisterialug_core.workflow import fill_interference, model
+from wisterialug_core.workflow import fill_interference, fill_samples, model
 from wisterialug_daemon import logs
 from wisterialug_daemon.workflow import clock
 
@@ -29,14 +29,12 @@
         self.worker = worker
         self._owner = owner
         # Fill runs by task name, with the pace ordered last.
-        self._fills: dict[str, fill_interference.FillRun] = {}
+        self._fills: dict[str, fill_samples.FillRun] = {}
 
     def is_throttled(self, task: model.Task) -> bool:
         """Returns whether a run's pace is below full."""
         fill = self._fills.get(task.name)
-        return (
-            fill is not None and fill.percent < fill_interference.FULL_PERCENT
-        )
+        return fill is not None and fill.percent < fill_samples.FULL_PERCENT
 
     def may_interfere(self) -> bool:
         """Returns whether fill runs may interfere with a serving task."""
@@ -56,7 +54,7 @@
                 continue
             step = self._owner.shard_jobs.step(task.key)
             if step.fills:
-                fill = self._fills.get(task.name) or fill_interference.FillRun(
+                fill = self._fills.get(task.name) or fill_samples.FillRun(
                     step.image, self.worker.cpu_share(step)
                 )
                 fill.used = run.measurement / capacity
@@ -64,7 +62,7 @@
                 runs[task.name] = task
             elif step.target_ms and run.progress >= STARTED_PERCENT:
                 serving.append(
-                    fill_interference.ServingTail(
+                    fill_samples.ServingTail(
                         step.image, run.measurement, step.target_ms
                     )
                 )
@@ -82,22 +80,20 @@
         step = self._owner.shard_jobs.step(task.key)
         if not step.fills:
             return
-        fill = fill_interference.FillRun(
-            step.image, self.worker.cpu_share(step)
-        )
+        fill = fill_samples.FillRun(step.image, self.worker.cpu_share(step))
         self._fills[task.name] = fill
         interference = self._owner.interference
         percent = interference.initial_pace(
             self.worker.samples, self._fills, fill
         )
-        if percent < fill_interference.FULL_PERCENT:
+        if percent < fill_samples.FULL_PERCENT:
             fill.set_pace(percent, clock.now_s())
             self._owner.greenlets.spawn(self._send_pace, task, task.run, fill)
 
     def _apply(
         self,
         task: model.Task,
-        fill: fill_interference.FillRun,
+        fill: fill_samples.FillRun,
         reaction: fill_interference.Reaction,
     ) -> None:
         if reaction is fill_interference.Reaction.PACE:
@@ -108,7 +104,7 @@
             self._owner.stop_run(task, "interferes with serving tasks")
 
     def _send_pace(
-        self, task: model.Task, run: int, fill: fill_interference.FillRun
+        self, task: model.Task, run: int, fill: fill_samples.FillRun
     ) -> None:
         percent = fill.percent
         logs.event(
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/owner.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/owner.py
@@ -9,13 +9,12 @@
 import result
 
 from wisterialug_core.decisions import resources
-from wisterialug_core.schema import workflow_pb2
 from wisterialug_core.workflow import (
     fill_interference,
     job_table,
+    leases,
     model,
     step_placement,
-    urgency,
     worker_table,
 )
 from wisterialug_daemon import logs, metrics
@@ -24,6 +23,7 @@
     dispatcher,
     errors,
     lender,
+    owner_logs,
     pool,
     shard_feeds,
     shard_recorder,
@@ -35,7 +35,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Mapping
 
-    from wisterialug_core.workflow import job_entry
+    from wisterialug_core.schema import workflow_pb2
     from wisterialug_daemon.workflow import (
         layout_keeper,
         row_store,
@@ -115,7 +115,7 @@
 
     def earlier_leases_expiry_s(self) -> float:
         """Returns when all leases of earlier owners have surely expired."""
-        lease_s = self.cfg.lease_ms / 1000 / 0.98
+        lease_s = self.cfg.lease_ms / 1000 / leases.MIN_CLOCK_RATE
         return self.acquired_s + MAX_UNCONFIRMED_S + lease_s
 
     def wake(self) -> None:
@@ -221,7 +221,7 @@
         for loan_result in inbox.results:
             entry = self._lender.apply_result(loan_result)
             if entry is not None and entry.final:
-                self._log_job_end(entry)
+                owner_logs.log_job_end(entry)
         for job in inbox.cancelled:
             if self.shard_jobs.cancel(job, now_ms):
                 logs.event("job-cancelled", job=job, shard=self.rows.shard)
@@ -306,21 +306,9 @@
         entry = self.shard_jobs.jobs[task.key.job]
         if entry.home and entry.final:
             if end in {model.RunEnd.DONE, model.RunEnd.FAILED}:
-                self._log_job_end(entry)
+                owner_logs.log_job_end(entry)
         self.wake()
 
-    def _log_job_end(self, entry: job_entry.JobEntry) -> None:
-        state = workflow_pb2.JobState.Name(entry.state)
-        took_ms = entry.ended_ms - entry.job.accepted_ms
-        metrics.JOB_SECONDS.labels(state).observe(took_ms / 1000)
-        logs.event(
-            "job-ended",
-            job=entry.job.id,
-            state=state,
-            took_ms=took_ms,
-            objective_ms=int(urgency.objective_ms(entry.job)),
-        )
-
     def _stop_gang(self, ended: model.Task) -> None:
         """Stops the other members, which can't proceed without this one."""
         entry = self.shard_jobs.jobs[ended.key.job]
@@ -372,34 +360,12 @@
         self._pending = [
             p for p in self._pending if p.task.key.job not in taken
         ]
-        self._log_placed(ready, outcome.ok_value)
+        owner_logs.log_placed(
+            self.shard_jobs, ready, self.epoch, outcome.ok_value
+        )
         for start in ready:
             self._dispatcher.send(start)
 
-    def _log_placed(
-        self, ready: list[step_placement.Placement], version: int
-    ) -> None:
-        """Logs placements, one line for all tasks of a step."""
-        by_group: dict[model.GroupKey, list[step_placement.Placement]] = {}
-        for start in ready:
-            group = model.GroupKey(*start.task.key[:3])
-            by_group.setdefault(group, []).append(start)
-        for group, placed in by_group.items():
-            job = self.shard_jobs.jobs[group.job].job
-            workers = sorted({start.worker.report.id for start in placed})
-            logs.event(
-                "tasks-placed",
-                job=group.job,
-                repetition=group.repetition,
-                step=group.step,
-                tasks=[start.task.key.index for start in placed],
-                workers=workers,
-                epoch=self.epoch,
-                version=version,
-                age_ms=clock.wall_ms() - job.accepted_ms,
-                objective_ms=int(urgency.objective_ms(job)),
-            )
-
     def _is_partitioned(self, now_s: float) -> bool:
         if now_s - self.acquired_s < PARTITION_CHECK_DELAY_S:
             return False
--- /dev/null
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/owner_logs.py
@@ -0,0 +1,61 @@
+"""Log lines of a shard's owner."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from wisterialug_core.schema import workflow_pb2
+from wisterialug_core.workflow import model, urgency
+from wisterialug_daemon import logs, metrics
+from wisterialug_daemon.workflow import clock
+
+if TYPE_CHECKING:
+    from wisterialug_core.workflow import job_entry, job_table, step_placement
+
+
+def log_job_end(entry: job_entry.JobEntry) -> None:
+    """Logs and counts the end of a job."""
+    state = workflow_pb2.JobState.Name(entry.state)
+    took_ms = entry.ended_ms - entry.job.accepted_ms
+    metrics.JOB_SECONDS.labels(state).observe(took_ms / 1000)
+    logs.event(
+        "job-ended",
+        job=entry.job.id,
+        state=state,
+        took_ms=took_ms,
+        objective_ms=int(urgency.objective_ms(entry.job)),
+    )
+
+
+def log_placed(
+    jobs: job_table.JobTable,
+    placements: list[step_placement.Placement],
+    epoch: int,
+    version: int,
+) -> None:
+    """Logs recorded placements, one line for all tasks of a step.
+
+    Args:
+      jobs: The shard's jobs.
+      placements: The placements.
+      epoch: Epoch of the owner.
+      version: Version of the change that recorded them.
+    """
+    by_group: dict[model.GroupKey, list[step_placement.Placement]] = {}
+    for start in placements:
+        group = model.GroupKey(*start.task.key[:3])
+        by_group.setdefault(group, []).append(start)
+    for group, placed in by_group.items():
+        job = jobs.jobs[group.job].job
+        logs.event(
+            "tasks-placed",
+            job=group.job,
+            repetition=group.repetition,
+            step=group.step,
+            tasks=[start.task.key.index for start in placed],
+            workers=sorted({start.worker.report.id for start in placed}),
+            epoch=epoch,
+            version=version,
+            age_ms=clock.wall_ms() - job.accepted_ms,
+            objective_ms=int(urgency.objective_ms(job)),
+        )
--- /dev/null
+++ b/packages/wisterialug-standins/src/wisterialug_standins/emulated_worker.py
@@ -0,0 +1,55 @@
+"""One emulated worker and its runs."""
+
+from __future__ import annotations
+
+import dataclasses
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from wisterialug_core.workflow import model
+    from wisterialug_daemon.workflow import worker_calls
+
+
+@dataclasses.dataclass
+class RunRecord:
+    """What actually happened to one run.
+
+    Attributes:
+      acked: The scheduler has told the worker that the run's end is durable.
+    """
+
+    task: str
+    run: int
+    worker: str
+    epoch: int
+    began_s: float
+    checkpoint: str
+    ended_s: float = 0.0
+    end: model.RunEnd | None = None
+    acked: bool = False
+
+
+@dataclasses.dataclass
+class EmulatedWorker:
+    """One incarnation of a worker.
+
+    Attributes:
+      unreachable: Receives no calls.
+      drops_replies: Carries out calls without replying.
+      late_order_rate: Fraction of orders carried out late without a reply.
+      fails_all: All runs fail immediately.
+      hangs: Runs make no progress.
+    """
+
+    report: model.WorkerReport
+    unreachable: bool = False
+    drops_replies: bool = False
+    late_order_rate: float = 0.0
+    fails_all: bool = False
+    hangs: bool = False
+    fence: int = 0
+    deadline_ms: int = 0
+    ended: list[worker_calls.EndedRun] = dataclasses.field(default_factory=list)
+    next_seq: int = 1
+    running: dict[str, RunRecord] = dataclasses.field(default_factory=dict)
+    highest_ended_run: dict[str, int] = dataclasses.field(default_factory=dict)
--- a/packages/wisterialug-standins/src/wisterialug_standins/emulated_workers.py
+++ b/packages/wisterialug-standins/src/wisterialug_standins/emulated_workers.py
@@ -16,6 +16,7 @@
     sources,
     worker_calls,
 )
+from wisterialug_standins import emulated_worker
 
 if TYPE_CHECKING:
     import random
@@ -26,51 +27,6 @@
 MAX_LEASE_MS = 10_000
 
 
-@dataclasses.dataclass
-class RunRecord:
-    """What actually happened to one run.
-
-    Attributes:
-      acked: The scheduler has told the worker that the run's end is durable.
-    """
-
-    task: str
-    run: int
-    worker: str
-    epoch: int
-    began_s: float
-    checkpoint: str
-    ended_s: float = 0.0
-    end: model.RunEnd | None = None
-    acked: bool = False
-
-
-@dataclasses.dataclass
-class EmulatedWorker:
-    """One incarnation of a worker.
-
-    Attributes:
-      unreachable: Receives no calls.
-      drops_replies: Carries out calls without replying.
-      late_order_rate: Fraction of orders carried out late without a reply.
-      fails_all: All runs fail immediately.
-      hangs: Runs make no progress.
-    """
-
-    report: model.WorkerReport
-    unreachable: bool = False
-    drops_replies: bool = False
-    late_order_rate: float = 0.0
-    fails_all: bool = False
-    hangs: bool = False
-    fence: int = 0
-    deadline_ms: int = 0
-    ended: list[worker_calls.EndedRun] = dataclasses.field(default_factory=list)
-    next_seq: int = 1
-    running: dict[str, RunRecord] = dataclasses.field(default_factory=dict)
-    highest_ended_run: dict[str, int] = dataclasses.field(default_factory=dict)
-
-
 class EmulatedFleet(worker_calls.WorkerCalls, sources.WorkerRegistry):
     """Emulates workers and their registry; `duration_s` returns run times.
 
@@ -84,14 +40,14 @@
         duration_s: Callable[[str], float],
         fails: Callable[[str], bool] = lambda _: False,
     ) -> None:
-        self.workers: dict[str, EmulatedWorker] = {}
+        self.workers: dict[str, emulated_worker.EmulatedWorker] = {}
         # Reports of all workers at registration, including removed ones.
         self.reports: dict[str, model.WorkerReport] = {}
         # If set, the next start is refused with UnwellError.
         self.refuse_next_start: str | None = None
         # Returns the number of members of a task's gang; 0 without a gang.
         self.gang_size: Callable[[str], int] = lambda _: 0
-        self.history: list[RunRecord] = []
+        self.history: list[emulated_worker.RunRecord] = []
         self._rng = rng
         self._duration_s = duration_s
         self._fails = fails
@@ -108,9 +64,9 @@
         cpu_millicores: int = 16_000,
         rack: str = "r1",
         data_centre: str = "dc1",
-    ) -> EmulatedWorker:
+    ) -> emulated_worker.EmulatedWorker:
         """Registers a worker."""
-        worker = EmulatedWorker(
+        worker = emulated_worker.EmulatedWorker(
             model.WorkerReport(
                 id=model.WorkerId(name),
                 address=f"{name}:1",
@@ -186,7 +142,9 @@
     ) -> result.Result[worker_calls.Reply, errors.WorkerError]:
         """Stops a run, or rejects its start if that arrives later."""
 
-        def carry_out(target: EmulatedWorker) -> errors.WorkerError | None:
+        def carry_out(
+            target: emulated_worker.EmulatedWorker,
+        ) -> errors.WorkerError | None:
             if epoch < target.fence:
                 return errors.RejectedError(errors.Rejection.FENCED)
             target.fence = epoch
@@ -223,7 +181,9 @@
     ) -> result.Result[worker_calls.RunReport, errors.WorkerError]:
         """Extends the lease, drops durable ends and waits for a new end."""
 
-        def carry_out(target: EmulatedWorker) -> errors.WorkerError | None:
+        def carry_out(
+            target: emulated_worker.EmulatedWorker,
+        ) -> errors.WorkerError | None:
             if epoch < target.fence:
                 return errors.RejectedError(errors.Rejection.FENCED)
             target.fence = epoch
@@ -257,7 +217,11 @@
             )
         )
 
-    def _progress(self, worker: EmulatedWorker, record: RunRecord) -> int:
+    def _progress(
+        self,
+        worker: emulated_worker.EmulatedWorker,
+        record: emulated_worker.RunRecord,
+    ) -> int:
         if worker.hangs:
             return 0
         elapsed_s = self._worked_s(record)
@@ -267,7 +231,9 @@
         self,
         worker: model.WorkerReport,
         timeout_s: float,
-        carry_out: Callable[[EmulatedWorker], errors.WorkerError | None],
+        carry_out: Callable[
+            [emulated_worker.EmulatedWorker], errors.WorkerError | None
+        ],
     ) -> result.Result[worker_calls.Reply, errors.WorkerError]:
         sent_s = clock.now_s()
         eventlet.sleep(LATENCY_S)
@@ -289,7 +255,9 @@
         return result.Ok(worker_calls.Reply(_clock_ms(), sent_s, clock.now_s()))
 
     def _start_run(
-        self, target: EmulatedWorker, order: worker_calls.StartOrder
+        self,
+        target: emulated_worker.EmulatedWorker,
+        order: worker_calls.StartOrder,
     ) -> errors.WorkerError | None:
         if order.epoch < target.fence:
             return errors.RejectedError(errors.Rejection.FENCED)
@@ -304,7 +272,7 @@
             order.task, 0
         ):
             return errors.RejectedError(errors.Rejection.OLD_RUN)
-        record = RunRecord(
+        record = emulated_worker.RunRecord(
             order.task,
             order.run,
             target.report.id,
@@ -316,7 +284,9 @@
         self.history.append(record)
         return None
 
-    def _extend(self, target: EmulatedWorker, deadline_ms: int | None) -> None:
+    def _extend(
+        self, target: emulated_worker.EmulatedWorker, deadline_ms: int | None
+    ) -> None:
         if deadline_ms is not None:
             longest = _clock_ms() + MAX_LEASE_MS
             target.deadline_ms = max(
@@ -330,7 +300,10 @@
                 record.acked = True
 
     def _end_run(
-        self, target: EmulatedWorker, record: RunRecord, end: model.RunEnd
+        self,
+        target: emulated_worker.EmulatedWorker,
+        record: emulated_worker.RunRecord,
+        end: model.RunEnd,
     ) -> None:
         del target.running[record.task]
         record.ended_s = clock.now_s()
@@ -346,8 +319,8 @@
         self._end_gang(record, end)
 
     def _gang(
-        self, record: RunRecord
-    ) -> list[tuple[EmulatedWorker, RunRecord]]:
+        self, record: emulated_worker.RunRecord
+    ) -> list[tuple[emulated_worker.EmulatedWorker, emulated_worker.RunRecord]]:
         """Returns the active members of a run's gang; empty without a gang."""
         if not self.gang_size(record.task):
             return []
@@ -360,7 +333,9 @@
             and member.run == record.run
         ]
 
-    def _end_gang(self, ended: RunRecord, end: model.RunEnd) -> None:
+    def _end_gang(
+        self, ended: emulated_worker.RunRecord, end: model.RunEnd
+    ) -> None:
         """Ends the other members: all are done together, or none is."""
         if end is not model.RunEnd.DONE:
             end = model.RunEnd.BROKEN
@@ -369,7 +344,7 @@
             if member.end is None:
                 self._end_run(worker, member, end)
 
-    def _worked_s(self, record: RunRecord) -> float:
+    def _worked_s(self, record: emulated_worker.RunRecord) -> float:
         """Returns how long a run has worked; a gang needs all its members."""
         size = self.gang_size(record.task)
         began_s = record.began_s
@@ -386,7 +361,7 @@
             for worker in list(self.workers.values()):
                 self._tick_worker(worker)
 
-    def _tick_worker(self, worker: EmulatedWorker) -> None:
+    def _tick_worker(self, worker: emulated_worker.EmulatedWorker) -> None:
         lapsed = worker.deadline_ms < _clock_ms()
         for record in list(worker.running.values()):
             if record.end is not None:
--- a/packages/wisterialug-standins/src/wisterialug_standins/run_oracle.py
+++ b/packages/wisterialug-standins/src/wisterialug_standins/run_oracle.py
@@ -14,7 +14,7 @@
     from collections.abc import Iterable, Mapping
 
     from wisterialug_core.schema import workflow_pb2
-    from wisterialug_standins import emulated_workers
+    from wisterialug_standins import emulated_worker
 
 # Time after the reply to a cancel in which all tasks of the job must end: the
 # users' limits for starts and for stops, plus the longest stop.
@@ -33,7 +33,7 @@
       checked_s: Time at which the trace was taken.
     """
 
-    history: list[emulated_workers.RunRecord]
+    history: list[emulated_worker.RunRecord]
     jobs: Iterable[workflow_pb2.Job]
     workers: Mapping[str, model.WorkerReport] = dataclasses.field(
         default_factory=dict
@@ -45,7 +45,7 @@
 def violations(trace: Trace) -> list[str]:
     """Returns a description of each broken guarantee."""
     found = []
-    by_task: dict[str, list[emulated_workers.RunRecord]] = {}
+    by_task: dict[str, list[emulated_worker.RunRecord]] = {}
     for run in trace.history:
         by_task.setdefault(run.task, []).append(run)
     by_id = {job.id: job for job in trace.jobs}
@@ -68,7 +68,7 @@
 
 
 def _repeated(
-    name: str, runs: list[emulated_workers.RunRecord], *, restarts: bool
+    name: str, runs: list[emulated_worker.RunRecord], *, restarts: bool
 ) -> list[str]:
     found = []
     for earlier, later in itertools.pairwise(runs):
@@ -89,8 +89,8 @@
     name: str,
     key: model.TaskKey,
     job: workflow_pb2.Job,
-    runs: list[emulated_workers.RunRecord],
-    by_task: dict[str, list[emulated_workers.RunRecord]],
+    runs: list[emulated_worker.RunRecord],
+    by_task: dict[str, list[emulated_worker.RunRecord]],
 ) -> list[str]:
     found = []
     for step in job.steps[key.step].after:
@@ -109,7 +109,7 @@
 
 def _outliving(
     name: str,
-    runs: list[emulated_workers.RunRecord],
+    runs: list[emulated_worker.RunRecord],
     cancelled_s: float | None,
 ) -> list[str]:
     if cancelled_s is None:
@@ -125,7 +125,7 @@
 def _missing_label(
     name: str,
     step: workflow_pb2.Step,
-    runs: list[emulated_workers.RunRecord],
+    runs: list[emulated_worker.RunRecord],
     workers: Mapping[str, model.WorkerReport],
 ) -> list[str]:
     return [
@@ -140,7 +140,7 @@
 def _overload(trace: Trace, jobs: Mapping[str, workflow_pb2.Job]) -> list[str]:
     """Finds starts beyond a worker's capacity or a step's max_per_worker."""
     found = []
-    by_worker: dict[str, list[emulated_workers.RunRecord]] = {}
+    by_worker: dict[str, list[emulated_worker.RunRecord]] = {}
     for run in trace.history:
         by_worker.setdefault(run.worker, []).append(run)
     for worker, runs in by_worker.items():
--- a/tests/test_core/test_workflow/test_fill_interference.py
+++ b/tests/test_core/test_workflow/test_fill_interference.py
@@ -4,7 +4,7 @@
 
 import testtools
 
-from wisterialug_core.workflow import fill_interference
+from wisterialug_core.workflow import fill_interference, fill_samples
 
 FLOOR_MS = 10.0
 TARGET_MS = 50.0
@@ -18,7 +18,7 @@
     def __init__(self, seed=1):
         self.rng = random.Random(seed)
         self.model = fill_interference.InterferenceModel()
-        self.samples = fill_interference.WorkerSamples()
+        self.samples = fill_samples.WorkerSamples()
         self.now_s = 0.0
 
     def tail_ms(self, load, fills):
@@ -29,13 +29,13 @@
         for fill in fills:
             fill.used = fill.share * fill.percent / 100
         tail = self.tail_ms(load, fills) * self.rng.uniform(0.95, 1.05)
-        serving = [fill_interference.ServingTail("s", tail, TARGET_MS)]
+        serving = [fill_samples.ServingTail("s", tail, TARGET_MS)]
         self.now_s += 0.8
         self.model.learn(self.samples, serving, fills, self.now_s)
         return serving
 
     def train(self, image):
-        fill = fill_interference.FillRun(image, 0.12)
+        fill = fill_samples.FillRun(image, 0.12)
         for number in range(40):
             self.sample([fill] if number % 4 < 2 else [])
 
@@ -66,8 +66,8 @@
         sim.train("heavy")
         sim.train("light")
         fills = {
-            "h": fill_interference.FillRun("heavy", 0.2),
-            "l": fill_interference.FillRun("light", 0.2),
+            "h": fill_samples.FillRun("heavy", 0.2),
+            "l": fill_samples.FillRun("light", 0.2),
         }
         for _ in range(3):
             serving = sim.sample(list(fills.values()), load=0.6)
@@ -79,7 +79,7 @@
         # The load of the serving task rises suddenly by a third.
         sim = SimulatedWorker()
         sim.train("heavy")
-        fills = {"h": fill_interference.FillRun("heavy", 0.12)}
+        fills = {"h": fill_samples.FillRun("heavy", 0.12)}
         for _ in range(4):
             serving = sim.sample(list(fills.values()))
             sim.model.react(sim.samples, serving, fills, sim.now_s)
@@ -94,8 +94,8 @@
         # The load of the serving task changes after the image was learned.
         sim = SimulatedWorker()
         sim.train("light")
-        fills = {"l": fill_interference.FillRun("light", 0.2)}
-        tail = fill_interference.ServingTail("s", TARGET_MS * 1.2, TARGET_MS)
+        fills = {"l": fill_samples.FillRun("light", 0.2)}
+        tail = fill_samples.ServingTail("s", TARGET_MS * 1.2, TARGET_MS)
         paused_s = None
         for number in range(10):
             sim.now_s += 0.5
@@ -108,9 +108,9 @@
         # Fill runs may each be harmless and still interfere together.
         sim = SimulatedWorker()
         sim.train("light")
-        fills = {"l": fill_interference.FillRun("light", 0.2)}
-        alarm = fill_interference.ServingTail("s", TARGET_MS * 3, TARGET_MS)
-        calm = fill_interference.ServingTail("s", 15.0, TARGET_MS)
+        fills = {"l": fill_samples.FillRun("light", 0.2)}
+        alarm = fill_samples.ServingTail("s", TARGET_MS * 3, TARGET_MS)
+        calm = fill_samples.ServingTail("s", 15.0, TARGET_MS)
         paces = []
         for tail in [alarm] * 4 + [calm] * 6:
             sim.now_s += 0.5
@@ -122,7 +122,7 @@
     def test_pace_settles(self):
         sim = SimulatedWorker()
         sim.train("heavy")
-        fills = {"h": fill_interference.FillRun("heavy", 0.3)}
+        fills = {"h": fill_samples.FillRun("heavy", 0.3)}
         paces = []
         for _ in range(20):
             serving = sim.sample(list(fills.values()))
@@ -133,7 +133,7 @@
     def test_run_that_stays_throttled_is_moved(self):
         sim = SimulatedWorker()
         sim.train("heavy")
-        fills = {"h": fill_interference.FillRun("heavy", 0.5)}
+        fills = {"h": fill_samples.FillRun("heavy", 0.5)}
         seen = []
         for _ in range(4):
             serving = sim.sample(list(fills.values()), load=0.7)
--- a/tests/test_standins/test_run_oracle.py
+++ b/tests/test_standins/test_run_oracle.py
@@ -5,14 +5,14 @@
 from wisterialug_core.decisions import resources
 from wisterialug_core.schema import workflow_pb2
 from wisterialug_core.workflow import model
-from wisterialug_standins import emulated_workers, run_oracle
+from wisterialug_standins import emulated_worker, run_oracle
 
 DONE = model.RunEnd.DONE
 FAILED = model.RunEnd.FAILED
 
 
 def run(task, number, began_s, ended_s=0.0, end=None, *, acked=False):
-    return emulated_workers.RunRecord(
+    return emulated_worker.RunRecord(
         task, number, f"w{number}", 1, began_s, "", ended_s, end, acked
     )
 
