Refuse numbers out of range; name contracts that are not implemented

Cause: a count of, 1e999 or NaN raised in the decoder, so that the caller got no clear answer; a repetition count of a billion would have kept the owner busy. The start line did not tell that a deployment asks for advice, upkeep or orders by heartbeat.

--- a/tests/test_platform/test_decoding.py
+++ b/tests/test_platform/test_decoding.py
@@ -128,6 +128,12 @@
             ({"steps": [{"count": 1, "after": [0]}]}, "after"),
             ({"steps": [{"count": 1, "cpu": "x"}]}, "cpu"),
             ({"steps": [{"count": 1, "gang": 1}]}, "gang"),
+            ({"steps": [{"count": 99_999_999_999}]}, "count"),
+            ({"steps": [{"count": 1, "mem_mb": 99_999_999_999}]}, "mem_mb"),
+            (b'{"steps": [{"count": 1, "cpu": 1e999}]}', "cpu"),
+            (b'{"steps": [{"count": 1, "cpu": NaN}]}', "cpu"),
+            ({"steps": [{"count": 1}], "repeats": 10**9}, "repeats"),
+            ({"steps": [{"count": 1}], "start_at_ms": 1e300}, "start_at_ms"),
             ({"spec": "x" * 4001, "steps": [{"count": 1}]}, "spec"),
         ]
         for body, text in cases:
@@ -152,6 +158,26 @@
         self.assertEqual("10.0.0.1:7720", str(cfg.peers))
         self.assertEqual(3000, cfg.workflow.lease_ms)
         self.assertEqual(1.0, cfg.workflow.processors)
+        self.assertEqual((), cfg.unsupported)
+
+    def test_contracts_that_are_not_implemented_are_named(self):
+        text = (
+            'contracts = ["base", "upkeep", "advice"]\norders = "heartbeat"\n'
+        )
+        cfg = self.read(text + SETTINGS).ok_value
+        self.assertEqual(
+            ("advice", "orders=heartbeat", "upkeep"), cfg.unsupported
+        )
+
+    def test_link(self):
+        cfg = self.read(
+            SETTINGS.replace("cores = 2", "cores = 2\nlink_mbps = 5")
+        )
+        self.assertEqual(5, cfg.ok_value.workflow.link_mbps)
+        cfg = self.read(
+            SETTINGS.replace("cores = 2", "cores = 2\nlink_mbps = 0")
+        )
+        self.assertEqual("limits.link_mbps", cfg.err_value.field)
 
     def test_differences_of_a_reload(self):
         old = self.read(SETTINGS).ok_value
