A job that failed is stopped in the shards that have borrowed its tasks

Cause: only a cancel was passed on to borrowers, and only if it ended the job. The new test fails before (tasks still run 3 s after the cancel).

--- a/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/lender.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/lender.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from wisterialug_core.schema import workflow_pb2
 from wisterialug_core.workflow import lending, loans, model, step_placement
 from wisterialug_daemon import logs
 from wisterialug_daemon.workflow import clock, records
@@ -11,7 +12,6 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Mapping
 
-    from wisterialug_core.schema import workflow_pb2
     from wisterialug_core.workflow import job_entry, job_table
     from wisterialug_daemon.workflow import layout_keeper, row_store
 
@@ -54,7 +54,7 @@
         self._lent: dict[str, tuple[int, int]] = {}
         # What other shards offer for finite tasks, with their latest renewal.
         self._offers: dict[str, tuple[int, lending.Offer]] = {}
-        # Results sent last, by job; shards that were told of a cancellation;
+        # Results sent last, by job; shards that were told that a job is over;
         # shards that have sent results.
         self._sent_results: dict[str, bytes] = {}
         self._cancels_sent: dict[str, set[str]] = {}
@@ -286,18 +286,19 @@
             self._sent_results[job] = result.SerializeToString()
 
     def _uncancelled(self, job: str) -> set[str]:
-        """Returns shards to tell that a job they have borrowed is cancelled."""
-        if not self._jobs.jobs[job].cancelled:
+        """Returns shards to tell that a job they have borrowed is over."""
+        entry = self._jobs.jobs[job]
+        if not entry.final or entry.state == workflow_pb2.JOB_COMPLETED:
             return set()
         return self._loans.lent_to(job) - self._cancels_sent.get(job, set())
 
     def refs(self, job: str) -> list[row_store.RowRef]:
         """Returns the rows of a job's loans, to be removed with the job."""
         refs = []
-        cancelled = self._jobs.jobs[job].cancelled
+        entry = self._jobs.jobs[job]
         for shard in sorted(self._loans.lent_to(job)):
             refs.append(records.loan(job, self._shard, shard))
-            if cancelled:
+            if entry.state != workflow_pb2.JOB_COMPLETED:
                 refs.append(records.cancel(job, shard))
         refs += [
             records.result(job, shard, self._shard)
--- a/tests/test_daemon/test_workflow_shards.py
+++ b/tests/test_daemon/test_workflow_shards.py
@@ -198,6 +198,34 @@
         self.wait_for(lambda: not self.active_runs(), 3)
         self.check_invariants()
 
+    def test_failed_job_is_stopped_in_the_borrowing_shard(self):
+        # UNASKED on trouble-3 of sgd-oilrun-large: the job had failed at home,
+        # so that its cancel changed nothing there, and lent tasks ran on.
+        self.failing = None
+        self.duration_s = 30
+        self.start_shards()
+        job = self.submit_wide()
+        self.wait_for(lambda: len(self.active_runs()) == self.TASKS, 5)
+        home = self.any_node().election.layout
+        shard = int(self.jobs[job].shard.removeprefix("s"))
+        self.failing = next(
+            run.task
+            for run in self.active_runs()
+            if home.shard_of(self.fleet.reports[run.worker]) == shard
+        )
+        self.wait_for_state(job, workflow_pb2.JOB_FAILED)
+        self.cancel(job)
+        self.wait_for(lambda: not self.active_runs(), 3)
+        self.check_invariants()
+
+    failing = None
+
+    def run_s(self, task):
+        return 0.1 if task == self.failing else self.duration_s
+
+    def fails(self, task):
+        return task == self.failing
+
     def test_borrower_full_of_lost_workers_gives_tasks_back(self):
         self.duration_s = 30
         self.start_shards()
--- a/tests/test_daemon/workflow_base.py
+++ b/tests/test_daemon/workflow_base.py
@@ -74,7 +74,7 @@
         self.rng = random.Random(self.seed)
         self.store = memory_store.MemoryStore(self.rng)
         self.fleet = emulated_workers.EmulatedFleet(
-            self.rng, lambda _: self.duration_s, self.fails
+            self.rng, self.run_s, self.fails
         )
         self.fleet.gang_size = self.gang_size
         self.addCleanup(self.fleet.close)
@@ -82,6 +82,11 @@
         self.cancelled_s = {}
         self.nodes = {}
 
+    def run_s(self, task):
+        """Returns how long a run of a task takes."""
+        del task
+        return self.duration_s
+
     def fails(self, task):
         """Returns whether a run of a task fails."""
         del task
