--- a/packages/wisterialug-core/src/wisterialug_core/workflow/health.py
+++ b/packages/wisterialug-core/src/wisterialug_core/workflow/health.py
@@ -31,6 +31,11 @@
         """Returns whether the worker may get new runs."""
         return now_s >= self.aside_until_s
 
+    @property
+    def suspect(self) -> bool:
+        """Returns whether the latest run to end here has failed."""
+        return bool(self.failed_jobs)
+
     def record_success(self) -> None:
         """Records a successful run."""
         self.failed_jobs.clear()
--- a/packages/wisterialug-core/src/wisterialug_core/workflow/job_table.py
+++ b/packages/wisterialug-core/src/wisterialug_core/workflow/job_table.py
@@ -151,6 +151,8 @@
         """Records the end of a task's active run; may end its job."""
         entry = self.jobs[task.key.job]
         step = entry.job.steps[task.key.step]
+        if end is model.RunEnd.FAILED:
+            task.failed_on = (*task.failed_on, task.worker)
         task.worker = ""
         entry.active -= 1
         if checkpoint:
--- a/packages/wisterialug-core/src/wisterialug_core/workflow/model.py
+++ b/packages/wisterialug-core/src/wisterialug_core/workflow/model.py
@@ -109,6 +109,8 @@
     loans: int = 0
     # When a borrowed task that waits was first seen to; 0 if it does not wait.
     borrowed_s: float = 0.0
+    # Workers on which a run has failed.
+    failed_on: tuple[str, ...] = ()
     # Of the active run only.
     phase: Phase = Phase.STARTING
     phase_since_s: float = 0.0
--- a/packages/wisterialug-core/src/wisterialug_core/workflow/step_placement.py
+++ b/packages/wisterialug-core/src/wisterialug_core/workflow/step_placement.py
@@ -144,7 +144,7 @@
             step, group, candidates, self._interference
         )
         for task in waiting:
-            worker = queue.best()
+            worker = queue.best(task)
             if worker is None:
                 if step.long_running:
                     _hold_worker(step, group, candidates, self._held)
@@ -324,7 +324,7 @@
         placements: list[Placement] = []
         queue = worker_rating.Candidates(step, group, pool, interference)
         for task in tasks:
-            worker = queue.best()
+            worker = queue.best(task)
             if worker is None:
                 break
             placements.append(
--- a/packages/wisterialug-core/src/wisterialug_core/workflow/worker_rating.py
+++ b/packages/wisterialug-core/src/wisterialug_core/workflow/worker_rating.py
@@ -42,13 +42,36 @@
                 self._heap.append((score, number, worker))
         heapq.heapify(self._heap)
 
-    def best(self) -> worker_table.Worker | None:
-        """Returns the best worker for one more task."""
-        return self._heap[0][2] if self._heap else None
+    def best(
+        self, task: model.Task | None = None
+    ) -> worker_table.Worker | None:
+        """Returns the best worker for a task, or for any of the group.
+
+        Some workers fail all that they start. A task that has failed is tried
+        on a worker that has not, if there is one: it has few attempts left.
+        """
+        if not self._heap:
+            return None
+        if task is not None and task.failures:
+            options = [
+                item
+                for item in self._heap
+                if item[2].report.id not in task.failed_on
+                and not item[2].health.suspect
+            ]
+            if options:
+                return min(options)[2]
+        return self._heap[0][2]
 
     def update(self, worker: worker_table.Worker) -> None:
-        """Rates the best worker again after a task was placed there."""
-        _, number, _ = heapq.heappop(self._heap)
+        """Rates a worker again after a task was placed there."""
+        if self._heap[0][2] is worker:
+            _, number, _ = heapq.heappop(self._heap)
+        else:
+            item = next(item for item in self._heap if item[2] is worker)
+            number = item[1]
+            self._heap.remove(item)
+            heapq.heapify(self._heap)
         score = self._rate(worker)
         if score is not None:
             heapq.heappush(self._heap, (score, number, worker))
--- a/tests/test_core/test_workflow/test_step_placement.py
+++ b/tests/test_core/test_workflow/test_step_placement.py
@@ -90,6 +90,41 @@
         spread = [worker for job, worker in plan if job == "spread"]
         self.assertEqual(["w0", "w1"], sorted(spread))
 
+    def fail(self, job, worker):
+        """Records that a run of a job's only task has failed on a worker."""
+        task = self.jobs.task(model.TaskKey(job, 0, 0, 0))
+        self.jobs.start(task, worker, task.run + 1, NOW_S)
+        self.jobs.end(task, model.RunEnd.FAILED, "", NOW_MS)
+        self.pool.workers[worker].health.record_failure(job, NOW_S)
+
+    def test_failed_task_is_tried_elsewhere(self):
+        # A worker that fails all its runs is always empty, and was chosen again
+        # until the task had used up its attempts.
+        self.worker("bad", cpu=1000)
+        self.worker("good")
+        self.job("j", step(1))
+        self.assertEqual([("j", "bad")], self.plan())
+        task = self.jobs.task(model.TaskKey("j", 0, 0, 0))
+        self.pool.release(task, "bad", self.jobs.step(task.key))
+        self.jobs.end(task, model.RunEnd.FAILED, "", NOW_MS)
+        self.assertEqual([("j", "good")], self.plan())
+
+    def test_failed_task_avoids_workers_that_failed_others(self):
+        self.worker("suspect", cpu=1000)
+        self.worker("bad")
+        self.worker("good")
+        self.job("other", step(1))
+        self.job("j", step(1))
+        self.fail("other", "suspect")
+        self.fail("j", "bad")
+        self.assertIn(("j", "good"), self.plan())
+
+    def test_failed_task_runs_where_it_failed_if_there_is_no_other(self):
+        self.worker("only")
+        self.job("j", step(1))
+        self.fail("j", "only")
+        self.assertEqual([("j", "only")], self.plan())
+
     def test_tasks_go_near_their_data(self):
         self.worker("w0")
         self.worker("w1", rack="r2")
