--- a/packages/wisterialug-core/src/wisterialug_core/workflow/fill_interference.py
+++ b/packages/wisterialug-core/src/wisterialug_core/workflow/fill_interference.py
@@ -45,10 +45,6 @@
 LOAD_WEIGHT = 0.5
 # Fraction of the utilisation at the target that paces may use.
 PACE_LIMIT = 0.93
-# A pace works on the load that is reached after a poll, the order's delay and
-# half of a sample; loads rise by a tenth of the processors per second at most.
-LOAD_LEAD_S = 0.6
-MAX_LOAD_RATE = 0.1
 # Tail over target at which all fill runs that may interfere are paused.
 ALARM_RATIO = 1.6
 # Factors below this are treated as noise: such pairs do not interfere.
@@ -132,12 +128,8 @@
                 del samples.targets[image]
                 samples.loads.pop(image, None)
                 samples.mean_loads.pop(image, None)
-                samples.sampled_loads.pop(image, None)
-                samples.rates.pop(image, None)
         for image, utilisation in current.items():
             load = utilisation / self._inflation(image, used)
-            if elapsed_s >= MIN_SAMPLE_GAP_S:
-                _update_rate(samples, image, load, elapsed_s)
             before = samples.mean_loads.get(image, load)
             samples.loads[image] = load
             samples.mean_loads[image] = before + LOAD_WEIGHT * (load - before)
@@ -240,7 +232,7 @@
     ) -> dict[str, int]:
         """Returns the paces that keep each serving task under its limit."""
         room = {
-            image: PACE_LIMIT * target - _expected_load(samples, image)
+            image: PACE_LIMIT * target - samples.loads.get(image, PRIOR_LOAD)
             for image, target in samples.targets.items()
         }
         paces: dict[str, int] = {}
@@ -252,7 +244,7 @@
             fill = fills[name]
             part = 1.0
             costs = {
-                image: _expected_load(samples, image)
+                image: samples.loads.get(image, PRIOR_LOAD)
                 * self._planned_factor(image, fill.image)
                 * fill.share
                 for image in room
@@ -345,28 +337,6 @@
         self.factors.correct(image, inputs, error, stddev)
 
 
-def _update_rate(
-    samples: fill_samples.WorkerSamples,
-    image: str,
-    load: float,
-    elapsed_s: float,
-) -> None:
-    earlier = samples.sampled_loads.get(image)
-    samples.sampled_loads[image] = load
-    if earlier is None or elapsed_s > MAX_SAMPLE_GAP_S:
-        samples.rates[image] = 0.0
-        return
-    before = samples.rates.get(image, 0.0)
-    rate = (load - earlier) / elapsed_s
-    samples.rates[image] = before + LOAD_WEIGHT * (rate - before)
-
-
-def _expected_load(samples: fill_samples.WorkerSamples, image: str) -> float:
-    """Returns the utilisation to expect when a new pace takes effect."""
-    rate = min(MAX_LOAD_RATE, max(0.0, samples.rates.get(image, 0.0)))
-    return samples.loads.get(image, PRIOR_LOAD) + LOAD_LEAD_S * rate
-
-
 def _over_target_s(
     samples: fill_samples.WorkerSamples, ratio: float, now_s: float
 ) -> float:
--- a/packages/wisterialug-core/src/wisterialug_core/workflow/fill_samples.py
+++ b/packages/wisterialug-core/src/wisterialug_core/workflow/fill_samples.py
@@ -51,8 +51,6 @@
     Attributes:
       loads: Utilisation by serving image, without fill runs.
       mean_loads: The same, as an exponential moving average.
-      sampled_loads: Loads at the sample that changes are counted from.
-      rates: Change of the loads per second, smoothed.
       targets: Utilisation by image at which the tail meets its target.
       alarm_s: When the last alarm was raised.
       over_target_since_s: Since when a tail is over its target; 0 if none is.
@@ -60,8 +58,6 @@
 
     loads: dict[str, float] = dataclasses.field(default_factory=dict)
     mean_loads: dict[str, float] = dataclasses.field(default_factory=dict)
-    sampled_loads: dict[str, float] = dataclasses.field(default_factory=dict)
-    rates: dict[str, float] = dataclasses.field(default_factory=dict)
     targets: dict[str, float] = dataclasses.field(default_factory=dict)
     sampled_s: float = 0.0
     utilisation: dict[str, float] = dataclasses.field(default_factory=dict)
