Bound a job's tasks by its record; shards change owners for balance seldom

Cause: a job of 10,000 tasks would have had a record larger than a row, which the store refuses for ever; a VM could release a shard as soon as it had it.

--- a/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/election.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/election.py
@@ -56,6 +56,8 @@
 # Between two checks whether this VM owns too much; doubled by each release,
 # as it may not have found another owner.
 FIRST_BALANCE_INTERVAL_S = 2.0
+# Shards change owners no more often for balance; each change costs some 0.3 s.
+MIN_HELD_S = 3.0
 
 
 @dataclasses.dataclass
@@ -298,6 +300,12 @@
         pause_s = FIRST_BALANCE_INTERVAL_S
         while not self._closing:
             eventlet.sleep(pause_s)
+            now_s = clock.now_s()
+            if any(
+                now_s - shard_owner.acquired_s < MIN_HELD_S
+                for shard_owner in self._owned.values()
+            ):
+                continue
             shards = {
                 name: len(shard_owner.shard_workers.workers)
                 for name, shard_owner in self._owned.items()
--- a/tests/test_platform/test_decoding.py
+++ b/tests/test_platform/test_decoding.py
@@ -133,6 +133,7 @@
             (b'{"steps": [{"count": 1, "cpu": 1e999}]}', "cpu"),
             (b'{"steps": [{"count": 1, "cpu": NaN}]}', "cpu"),
             ({"steps": [{"count": 1}], "repeats": 10**9}, "repeats"),
+            ({"steps": [{"count": 999}], "repeats": 5}, "4995 tasks"),
             ({"steps": [{"count": 1}], "start_at_ms": 1e300}, "start_at_ms"),
             ({"spec": "x" * 4001, "steps": [{"count": 1}]}, "spec"),
         ]
