A task that failed elsewhere says nothing about its worker

Cause: since failed tasks are tried on other workers, jobs that can never be done failed on several healthy ones, two of which set a worker aside; a trace then blamed workers (ExplainedFailuresTest, 2 of 28 causes wrong, 1.4 allowed). Change: only the first worker on which a task fails counts it. The test passes with its bound unchanged.

--- a/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/worker_session.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/worker_session.py
@@ -269,6 +269,9 @@
         health = self.worker.health
         if ended.end is model.RunEnd.DONE:
             health.record_success()
+        elif set(task.failed_on) - {self.worker.report.id}:
+            # It has failed elsewhere too: the task is at fault.
+            return
         elif ended.end is model.RunEnd.FAILED and health.record_failure(
             task.key.job, now_s
         ):
