Commits never exceed what one call to the store holds; loans are pruned

Cause: a job lent to many shards, together with the rows of ended jobs, could have made a commit of more than 100 entries, which the store refuses each time. Each round looked up the loan row of every borrowed job that had ended. The next owner of an ended job did not know its borrowers, so that their rows stayed. Change: a commit stops at 40 rows, a job is lent to 16 shards at a time, rows are removed while there is room; three loan rows are looked up a round, each again after 30 s; the record of an ended job keeps its lent tasks. The emulated store refuses what the platform does. New tests: rows of jobs with loans are removed, the next owner of a borrower does not run a loan again (failed before: none; both were untested), the next owner of an ended job knows its borrowers (failed before).

--- a/packages/wisterialug-core/src/wisterialug_core/workflow/job_table.py
+++ b/packages/wisterialug-core/src/wisterialug_core/workflow/job_table.py
@@ -232,9 +232,11 @@
         )
         for tasks in entry.groups.values():
             for task in tasks:
-                # Of an ended job, only tasks with an active run are kept.
+                # Of an ended job, only tasks that may run, here or in another
+                # shard, are kept.
                 touched = task.run or task.loans
-                if touched and (task.worker or not entry.final):
+                may_run = task.worker or task.lent_to
+                if touched and (may_run or not entry.final):
                     message.tasks.append(job_entry.record_of(task))
         return message
 
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/lender.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/lender.py
@@ -26,6 +26,9 @@
 # Groups of waiting tasks that one check considers; bounds its duration.
 MAX_GROUPS_PER_CHECK = 40
 READ_TIMEOUT_S = 0.5
+# Shards to which one commit writes rows of a job: one call to the store holds
+# 100 rows.
+MAX_SHARDS_PER_COMMIT = 16
 
 
 class Lender:
@@ -167,11 +170,17 @@
         return offer
 
     def _lend(self, tasks: list[model.Task], shard: str) -> None:
-        """Lends tasks of one group."""
+        """Lends tasks of one group, unless the job's commit would be too large.
+
+        The rows of all its loans must be in one commit with its record.
+        """
         key = tasks[0].key
+        targets = self._uncommitted.setdefault(key.job, set())
+        if shard not in targets and len(targets) >= MAX_SHARDS_PER_COMMIT:
+            return
+        targets.add(shard)
         for task in tasks:
             self._loans.lend(task, shard)
-        self._uncommitted.setdefault(key.job, set()).add(shard)
         logs.event(
             "tasks-lent",
             job=key.job,
@@ -256,41 +265,38 @@
 
     # Rows.
 
-    def rows(self, job: str) -> list[tuple[row_store.RowRef, bytes]]:
+    def take_rows(self, job: str) -> list[tuple[row_store.RowRef, bytes]]:
         """Returns the rows to commit with a changed job's record."""
         rows = []
-        for shard in sorted(self._uncommitted.get(job, ())):
+        for shard in sorted(self._uncommitted.pop(job, ())):
             loan = self._loans.loan(job, shard)
             ref = records.loan(job, self._shard, shard)
             rows.append((ref, loan.SerializeToString()))
-        rows += [
-            (records.cancel(job, shard), b"1")
-            for shard in sorted(self._uncancelled(job))
-        ]
+        uncancelled = self._uncancelled(job)
+        rows += [(records.cancel(job, shard), b"1") for shard in uncancelled]
+        if uncancelled:
+            self._cancels_sent.setdefault(job, set()).update(uncancelled)
         result = self._loans.result(job)
         if result is not None:
             value = result.SerializeToString()
             if value != self._sent_results.get(job):
                 ref = records.result(job, self._shard, result.to_shard)
                 rows.append((ref, value))
+                self._sent_results[job] = value
         return rows
 
-    def note_taken(self, job: str) -> None:
-        """Notes that the rows of a job are being committed."""
-        self._uncommitted.pop(job, None)
-        uncancelled = self._uncancelled(job)
-        if uncancelled:
-            self._cancels_sent.setdefault(job, set()).update(uncancelled)
-        result = self._loans.result(job)
-        if result is not None:
-            self._sent_results[job] = result.SerializeToString()
+    def has_more_rows(self, job: str) -> bool:
+        """Returns whether rows of a job are left for the next commit."""
+        return bool(self._uncancelled(job))
 
-    def _uncancelled(self, job: str) -> set[str]:
+    def _uncancelled(self, job: str) -> list[str]:
         """Returns shards to tell that a job they have borrowed is over."""
         entry = self._jobs.jobs[job]
         if not entry.final or entry.state == workflow_pb2.JOB_COMPLETED:
-            return set()
-        return self._loans.lent_to(job) - self._cancels_sent.get(job, set())
+            return []
+        lent_to = self._loans.lent_to(job)
+        untold = lent_to - self._cancels_sent.get(job, set())
+        return sorted(untold)[:MAX_SHARDS_PER_COMMIT]
 
     def refs(self, job: str) -> list[row_store.RowRef]:
         """Returns the rows of a job's loans, to be removed with the job."""
@@ -302,8 +308,12 @@
                 refs.append(records.cancel(job, shard))
         refs += [
             records.result(job, shard, self._shard)
-            for shard in sorted(self._results_from.pop(job, ()))
+            for shard in sorted(self._results_from.get(job, ()))
         ]
+        return refs
+
+    def forget(self, job: str) -> None:
+        """Drops what is kept of a job whose rows are removed."""
+        self._results_from.pop(job, None)
         self._sent_results.pop(job, None)
         self._cancels_sent.pop(job, None)
-        return refs
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/owner.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/owner.py
@@ -197,8 +197,8 @@
         self.apply_inbox(content.inbox)
         for entry in list(self.shard_jobs.jobs.values()):
             self.shard_jobs.close_if_ended(entry, clock.wall_ms())
-            if not entry.home:
-                # Its results may not have been sent.
+            if not entry.home or self._lender.has_more_rows(entry.job.id):
+                # Its results, or its end, may not have been sent to others.
                 self.shard_jobs.dirty.add(entry.job.id)
         logs.event(
             "shard-loaded",
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/shard_recorder.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/shard_recorder.py
@@ -17,6 +17,10 @@
 
 PRUNE_INTERVAL_S = 1.0
 MAX_PRUNED_ROWS = 20
+# Borrowed jobs whose loan rows are looked up per round, and the pause before the
+# next look: their own shard keeps the rows until the job's retention ends.
+MAX_LOAN_CHECKS = 3
+LOAN_CHECK_INTERVAL_MS = 30_000
 # Bounds how much learned interference is lost at a takeover.
 EFFECTS_SAVE_INTERVAL_S = 3.0
 
@@ -39,19 +43,18 @@
         taken: dict[str, list[tuple[row_store.RowRef, bytes]]] = {}
         count = 0
         for job in list(self._jobs.dirty):
-            rows = [
+            taken[job] = [
                 (
                     records.progress(self._rows.shard, job),
                     self._jobs.progress(job).SerializeToString(),
                 ),
-                *self._lender.rows(job),
+                *self._lender.take_rows(job),
             ]
-            if taken and count + len(rows) > shard_store.MAX_ROWS_PER_COMMIT:
+            count += len(taken[job])
+            if not self._lender.has_more_rows(job):
+                self._jobs.dirty.discard(job)
+            if count >= shard_store.FULL_COMMIT_ROWS:
                 break
-            taken[job] = rows
-            count += len(rows)
-            self._lender.note_taken(job)
-            self._jobs.dirty.discard(job)
         return taken
 
     def commit(
@@ -68,8 +71,9 @@
             learned = self._owner.interference.factors.to_message().SerializeToString()
             writes.append((records.effects(self._rows.shard), learned))
         renewal = self._renewal() if renewal_due else None
+        removes = self._prunable(shard_store.MAX_ROWS - len(writes))
         return self._rows.change(
-            writes, self._prunable(), renewal, lambda: not self._owner.lost
+            writes, removes, renewal, lambda: not self._owner.lost
         )
 
     def release(self) -> None:
@@ -105,7 +109,7 @@
             fill_room_millicores=spare.fill_room_millicores,
         )
 
-    def _prunable(self) -> list[row_store.RowRef]:
+    def _prunable(self, limit: int) -> list[row_store.RowRef]:
         """Returns rows of ended jobs whose retention period has passed."""
         now_s = clock.now_s()
         if now_s - self._pruned_s < PRUNE_INTERVAL_S:
@@ -114,6 +118,7 @@
         kept_ms = self._owner.cfg.state_kept_s * 1000
         before_ms = clock.wall_ms() - kept_ms
         removes: list[row_store.RowRef] = []
+        checks = 0
         for job, entry in list(self._jobs.jobs.items()):
             if (
                 job in self._jobs.open_jobs
@@ -121,9 +126,18 @@
                 or not 0 < entry.ended_ms <= before_ms
             ):
                 continue
-            if not entry.home and self._lender.is_borrowed(entry):
-                continue
-            removes += self._rows_of(entry)
+            if not entry.home:
+                checks += 1
+                if checks > MAX_LOAN_CHECKS:
+                    continue
+                if self._lender.is_borrowed(entry):
+                    entry.ended_ms += LOAN_CHECK_INTERVAL_MS
+                    continue
+            refs = self._rows_of(entry)
+            if len(removes) + len(refs) > limit:
+                break
+            removes += refs
+            self._lender.forget(job)
             self._jobs.drop(job)
             if len(removes) >= MAX_PRUNED_ROWS:
                 break
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/shard_store.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/shard_store.py
@@ -25,9 +25,11 @@
 PARALLEL_SCANS = 8
 FIRST_RETRY_S = 0.05
 MAX_RETRY_S = 0.4
-# The platform accepts 100 entries per call; the owner adds rows of its own and
+# The platform accepts 100 entries per call. A commit takes no further job from
+# this many rows on; the last one may add 34, the owner adds its own rows and
 # removes old ones.
-MAX_ROWS_PER_COMMIT = 70
+FULL_COMMIT_ROWS = 40
+MAX_ROWS = 90
 
 
 class OwnershipLostError(errors.StoreError):
--- a/packages/wisterialug-standins/src/wisterialug_standins/memory_store.py
+++ b/packages/wisterialug-standins/src/wisterialug_standins/memory_store.py
@@ -14,6 +14,8 @@
     import random
 
 LATENCY_S = 0.004
+# Entries of one transaction, as on the platform.
+MAX_ENTRIES = 100
 
 
 class MemoryStore(row_store.RowStore):
@@ -45,6 +47,10 @@
         row = self._rows.get(ref)
         return row[1] if row else None
 
+    def refs(self) -> list[row_store.RowRef]:
+        """Returns the references of all rows."""
+        return list(self._rows)
+
     def compact_history(self) -> None:
         """Drops the log of changes that watches resume from."""
         self._log.clear()
@@ -61,6 +67,15 @@
         eventlet.sleep(LATENCY_S)
         if self.down:
             return result.Err(errors.StoreRefusedError("store down"))
+        entries = [
+            *transaction.conditions,
+            *transaction.writes,
+            *transaction.removes,
+        ]
+        if len(entries) > MAX_ENTRIES:
+            return result.Err(
+                errors.StoreRefusedError(f"{len(entries)} entries")
+            )
         if self._rng.random() < self.late_commit_rate:
             eventlet.spawn_after(self.commit_delay_s, self._apply, transaction)
             eventlet.sleep(min(timeout_s, 0.2))
--- a/tests/test_core/test_workflow/test_loans.py
+++ b/tests/test_core/test_workflow/test_loans.py
@@ -283,6 +283,12 @@
         self.lend("s0", "s1", 1)
         self.assertNotIn((0, 1), self.ready(self.restored("s0")))
 
+    def test_next_owner_of_an_ended_job_knows_its_borrowers(self):
+        # They are told of the end, and the rows of the loan are removed.
+        self.lend("s0", "s1", 1)
+        self.home.jobs.cancel("j", NOW_MS)
+        self.assertEqual({"s1"}, self.restored("s0").loans.lent_to("j"))
+
     def test_failed_job_is_not_run_again_by_the_next_owner(self):
         loan = self.lend("s0", "s1", 1)
         self.run_task("s1", 1, model.RunEnd.FAILED)
--- a/tests/test_daemon/test_workflow_shards.py
+++ b/tests/test_daemon/test_workflow_shards.py
@@ -1,12 +1,13 @@
 """Tests of workers that are split into shards."""
 
 import os
+from unittest import mock
 
 import eventlet
 
 from tests.test_daemon import workflow_base
 from wisterialug_core.schema import workflow_pb2
-from wisterialug_daemon.workflow import intake
+from wisterialug_daemon.workflow import intake, shard_recorder
 
 step = workflow_base.step
 # Twice the sum of the owner timeout, the longest claim delay and a read of the
@@ -148,8 +149,8 @@
         self.check_invariants()
 
 
-class WideStepTest(_ShardsTestCase):
-    """A step with more tasks than the workers of its shard can hold."""
+class _WideStepTestCase(_ShardsTestCase):
+    """Provides a job whose first step is wider than its shard."""
 
     duration_s = 1.0
     # A shard of 40 workers of 16 processors holds 80 of them.
@@ -169,6 +170,10 @@
             for run in self.fleet.history
         }
 
+
+class WideStepTest(_WideStepTestCase):
+    """A step with more tasks than the workers of its shard can hold."""
+
     def test_step_runs_in_both_shards_at_once(self):
         self.start_shards()
         job = self.submit_wide()
@@ -241,6 +246,47 @@
         self.check_invariants()
 
 
+class PruningTest(_WideStepTestCase):
+    """Jobs with loans whose retention ends within seconds."""
+
+    state_kept_s = 1
+
+    def test_all_rows_of_a_job_are_removed(self):
+        self.enterContext(
+            mock.patch.object(shard_recorder, "LOAN_CHECK_INTERVAL_MS", 500)
+        )
+        self.start_shards()
+        done = self.submit_wide()
+        cancelled = self.submit_wide()
+        self.wait_for(lambda: len(self.active_runs()) >= self.TASKS, 5)
+        self.cancel(cancelled)
+        self.wait_for_state(done, workflow_pb2.JOB_COMPLETED)
+        self.wait_for(lambda: not self.rows_of(done, cancelled), 12)
+        self.check_invariants()
+
+    def rows_of(self, *jobs):
+        return [
+            ref for ref in self.store.refs() if any(j in ref.key for j in jobs)
+        ]
+
+    def test_next_owner_does_not_run_a_loan_again(self):
+        # The borrower's part is over long before the job, and its rows stay as
+        # long as the loan does.
+        self.start_shards()
+        job = self.submit_wide()
+        self.wait_for(lambda: len(self.active_runs()) == self.TASKS, 5)
+        self.wait_for(lambda: len(self.shards_used()) == 2, 1)
+        eventlet.sleep(2.5)
+        for name in list(self.nodes):
+            self.kill_node(name)
+        for name in ("n7", "n8"):
+            self.start_node(name)
+        self.wait_for(lambda: self.owned_shards() == 2, 8)
+        eventlet.sleep(1)
+        self.assertEqual(self.TASKS + 2, len(self.fleet.history), job)
+        self.check_invariants()
+
+
 class MixedShardsTest(_ShardsTestCase):
     """Random faults with jobs of all kinds, by seed."""
 
--- a/tests/test_daemon/workflow_base.py
+++ b/tests/test_daemon/workflow_base.py
@@ -30,13 +30,15 @@
 class Node:
     """The election and the intake of one VM."""
 
-    def __init__(self, name, store, fleet, boot="1", processors=1.0):
+    def __init__(
+        self, name, store, fleet, boot="1", processors=1.0, state_kept_s=60
+    ):
         cfg = settings.WorkflowSettings(
             node=name,
             boot=boot,
             data_centre="dc1",
             lease_ms=4000,
-            state_kept_s=60,
+            state_kept_s=state_kept_s,
             stop_within_s=5,
             processors=processors,
         )
@@ -68,6 +70,7 @@
     duration_s = 0.2
     # Of each VM.
     processors = 1.0
+    state_kept_s = 60
 
     def setUp(self):
         super().setUp()
@@ -107,7 +110,12 @@
 
     def start_node(self, name, boot="1"):
         self.nodes[name] = Node(
-            name, self.store, self.fleet, boot, self.processors
+            name,
+            self.store,
+            self.fleet,
+            boot,
+            self.processors,
+            self.state_kept_s,
         )
         self.addCleanup(self.nodes[name].close)
 
