Rows of loans that were given back are removed with their job

Cause: a shard that had given back all tasks of a loan was not among those that the job's rows name, so that the loan's row stayed, and the borrower looked for it each 30 s for ever. Change: shards that have sent results count as well. The new test fails before (rows left after 12 s).

--- a/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/lender.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/lender.py
@@ -15,12 +15,12 @@
     from wisterialug_core.workflow import job_entry, job_table
     from wisterialug_daemon.workflow import layout_keeper, row_store
 
+# Finite tasks are lent by the first check that finds them waiting: how soon room
+# falls free here is not known, and a loan takes some 50 ms.
 CHECK_INTERVAL_S = 0.05
 # Within this time a waiting long-running task mostly gets room in its own
 # shard: finite runs take about a second, and their room is kept for it.
 LEND_LONG_RUNNING_AFTER_S = 1.0
-# Finite tasks are lent in the first check that finds them waiting: how soon room
-# falls free here is not known, and a loan takes some 50 ms.
 # Borrowed tasks that do not start go back: their own shard may have room again.
 GIVE_BACK_AFTER_S = 1.0
 # Groups of waiting tasks that one check considers; bounds its duration.
@@ -300,15 +300,19 @@
 
     def refs(self, job: str) -> list[row_store.RowRef]:
         """Returns the rows of a job's loans, to be removed with the job."""
-        refs = []
         entry = self._jobs.jobs[job]
-        for shard in sorted(self._loans.lent_to(job)):
-            refs.append(records.loan(job, self._shard, shard))
-            if entry.state != workflow_pb2.JOB_COMPLETED:
-                refs.append(records.cancel(job, shard))
+        lent_to = self._loans.lent_to(job)
+        # Those that have given all tasks back are among them.
+        results_from = self._results_from.get(job, set())
+        refs = [
+            records.loan(job, self._shard, shard)
+            for shard in sorted(lent_to | results_from)
+        ]
+        if entry.state != workflow_pb2.JOB_COMPLETED:
+            refs += [records.cancel(job, shard) for shard in sorted(lent_to)]
         refs += [
             records.result(job, shard, self._shard)
-            for shard in sorted(self._results_from.get(job, ()))
+            for shard in sorted(results_from)
         ]
         return refs
 
--- a/tests/test_daemon/test_workflow_shards.py
+++ b/tests/test_daemon/test_workflow_shards.py
@@ -163,6 +163,13 @@
             step(self.TASKS, cpu_millicores=8000), step(2, after=[0])
         )
 
+    def crash_workers_of_borrower(self, job):
+        home = int(self.jobs[job].shard.removeprefix("s"))
+        layout = self.any_node().election.layout
+        for name, worker in list(self.fleet.workers.items()):
+            if layout.shard_of(worker.report) != home:
+                self.fleet.crash(name)
+
     def shards_used(self):
         layout = self.any_node().election.layout
         return {
@@ -236,12 +243,8 @@
         self.start_shards()
         job = self.submit_wide()
         self.wait_for(lambda: len(self.active_runs()) == self.TASKS, 5)
-        home = int(self.jobs[job].shard.removeprefix("s"))
-        layout = self.any_node().election.layout
         self.duration_s = 1.0
-        for name, worker in list(self.fleet.workers.items()):
-            if layout.shard_of(worker.report) != home:
-                self.fleet.crash(name)
+        self.crash_workers_of_borrower(job)
         self.wait_for_state(job, workflow_pb2.JOB_COMPLETED, 25)
         self.check_invariants()
 
@@ -264,6 +267,20 @@
         self.wait_for(lambda: not self.rows_of(done, cancelled), 12)
         self.check_invariants()
 
+    def test_rows_of_tasks_that_were_given_back_are_removed(self):
+        self.enterContext(
+            mock.patch.object(shard_recorder, "LOAN_CHECK_INTERVAL_MS", 500)
+        )
+        self.duration_s = 30
+        self.start_shards()
+        job = self.submit_wide()
+        self.wait_for(lambda: len(self.active_runs()) == self.TASKS, 5)
+        self.duration_s = 1.0
+        self.crash_workers_of_borrower(job)
+        self.wait_for_state(job, workflow_pb2.JOB_COMPLETED, 25)
+        self.wait_for(lambda: not self.rows_of(job), 12)
+        self.check_invariants()
+
     def rows_of(self, *jobs):
         return [
             ref for ref in self.store.refs() if any(j in ref.key for j in jobs)
