--- a/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/lender.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/lender.py
@@ -285,7 +285,7 @@
                 self._sent_results[job] = value
         return rows
 
-    def has_more_rows(self, job: str) -> bool:
+    def rows_are_left(self, job: str) -> bool:
         """Returns whether rows of a job are left for the next commit."""
         return bool(self._uncancelled(job))
 
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/owner.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/owner.py
@@ -197,7 +197,7 @@
         self.apply_inbox(content.inbox)
         for entry in list(self.shard_jobs.jobs.values()):
             self.shard_jobs.close_if_ended(entry, clock.wall_ms())
-            if not entry.home or self._lender.has_more_rows(entry.job.id):
+            if not entry.home or self._lender.rows_are_left(entry.job.id):
                 # Its results, or its end, may not have been sent to others.
                 self.shard_jobs.dirty.add(entry.job.id)
         logs.event(
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/shard_recorder.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/shard_recorder.py
@@ -51,7 +51,7 @@
                 *self._lender.take_rows(job),
             ]
             count += len(taken[job])
-            if not self._lender.has_more_rows(job):
+            if not self._lender.rows_are_left(job):
                 self._jobs.dirty.discard(job)
             if count >= shard_store.FULL_COMMIT_ROWS:
                 break
