Rows of borrowed jobs are removed after a takeover, too

Cause: where a borrower's owner was replaced after the lender had removed the loan, the next one did not know the job, and its record stayed; a result that came after its job's rows were removed stayed as well.

--- a/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/owner.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/owner.py
@@ -25,6 +25,7 @@
     lender,
     owner_logs,
     pool,
+    records,
     shard_feeds,
     shard_recorder,
     shard_store,
@@ -194,6 +195,11 @@
                 for task in self.shard_jobs.restore(entry, progress):
                     self._adopt(task)
                     adopted += 1
+        # Of borrowed jobs whose loan was removed before the record was.
+        self._recorder.orphans += [
+            records.progress(self.rows.shard, job)
+            for job in content.progress.keys() - self.shard_jobs.jobs.keys()
+        ]
         self.apply_inbox(content.inbox)
         for entry in list(self.shard_jobs.jobs.values()):
             self.shard_jobs.close_if_ended(entry, clock.wall_ms())
@@ -219,6 +225,15 @@
         for loan in inbox.loans:
             self._lender.borrow(loan)
         for loan_result in inbox.results:
+            if loan_result.job not in self.shard_jobs.jobs:
+                # The job's rows were removed before this one was written.
+                ref = records.result(
+                    loan_result.job,
+                    loan_result.from_shard,
+                    loan_result.to_shard,
+                )
+                self._recorder.orphans.append(ref)
+                continue
             entry = self._lender.apply_result(loan_result)
             if entry is not None and entry.final:
                 owner_logs.log_job_end(entry)
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/shard_recorder.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/shard_recorder.py
@@ -26,7 +26,11 @@
 
 
 class ShardRecorder:
-    """Builds and commits the rows of changed jobs and of the ownership."""
+    """Builds and commits the rows of changed jobs and of the ownership.
+
+    Attributes:
+      orphans: Rows of jobs that this shard no longer knows, to be removed.
+    """
 
     def __init__(
         self, shard_owner: owner.ShardOwner, loans: lender.Lender
@@ -35,6 +39,7 @@
         self._rows = shard_owner.rows
         self._jobs = shard_owner.shard_jobs
         self._lender = loans
+        self.orphans: list[row_store.RowRef] = []
         self._pruned_s = clock.now_s()
         self._effects_saved_s = clock.now_s()
 
@@ -117,7 +122,8 @@
         self._pruned_s = now_s
         kept_ms = self._owner.cfg.state_kept_s * 1000
         before_ms = clock.wall_ms() - kept_ms
-        removes: list[row_store.RowRef] = []
+        count = min(limit, MAX_PRUNED_ROWS)
+        removes, self.orphans = self.orphans[:count], self.orphans[count:]
         checks = 0
         for job, entry in list(self._jobs.jobs.items()):
             if (
