--- a/tests/test_daemon/test_workflow_shards.py
+++ b/tests/test_daemon/test_workflow_shards.py
@@ -163,6 +163,13 @@
             step(self.TASKS, cpu_millicores=8000), step(2, after=[0])
         )
 
+    def start_wide(self):
+        """Starts the shards and a wide job; waits until all tasks run."""
+        self.start_shards()
+        job = self.submit_wide()
+        self.wait_for(lambda: len(self.active_runs()) == self.TASKS, 5)
+        return job
+
     def crash_workers_of_borrower(self, job):
         home = int(self.jobs[job].shard.removeprefix("s"))
         layout = self.any_node().election.layout
@@ -182,18 +189,14 @@
     """A step with more tasks than the workers of its shard can hold."""
 
     def test_step_runs_in_both_shards_at_once(self):
-        self.start_shards()
-        job = self.submit_wide()
-        self.wait_for(lambda: len(self.active_runs()) == self.TASKS, 5)
+        job = self.start_wide()
         self.assertEqual({0, 1}, self.shards_used())
         self.wait_for_state(job, workflow_pb2.JOB_COMPLETED)
         self.assertEqual(self.TASKS + 2, len(self.fleet.history))
         self.check_invariants()
 
     def test_all_vms_are_killed_while_tasks_are_lent(self):
-        self.start_shards()
-        job = self.submit_wide()
-        self.wait_for(lambda: len(self.active_runs()) == self.TASKS, 5)
+        job = self.start_wide()
         for name in list(self.nodes):
             self.kill_node(name)
         for name in ("n7", "n8"):
@@ -203,9 +206,7 @@
 
     def test_cancel_reaches_the_borrowing_shard(self):
         self.duration_s = 30
-        self.start_shards()
-        job = self.submit_wide()
-        self.wait_for(lambda: len(self.active_runs()) == self.TASKS, 5)
+        job = self.start_wide()
         self.cancel(job)
         self.wait_for(lambda: not self.active_runs(), 3)
         self.check_invariants()
@@ -215,9 +216,7 @@
         # so that its cancel changed nothing there, and lent tasks ran on.
         self.failing = None
         self.duration_s = 30
-        self.start_shards()
-        job = self.submit_wide()
-        self.wait_for(lambda: len(self.active_runs()) == self.TASKS, 5)
+        job = self.start_wide()
         home = self.any_node().election.layout
         shard = int(self.jobs[job].shard.removeprefix("s"))
         self.failing = next(
@@ -240,9 +239,7 @@
 
     def test_borrower_full_of_lost_workers_gives_tasks_back(self):
         self.duration_s = 30
-        self.start_shards()
-        job = self.submit_wide()
-        self.wait_for(lambda: len(self.active_runs()) == self.TASKS, 5)
+        job = self.start_wide()
         self.duration_s = 1.0
         self.crash_workers_of_borrower(job)
         self.wait_for_state(job, workflow_pb2.JOB_COMPLETED, 25)
@@ -272,9 +269,7 @@
             mock.patch.object(shard_recorder, "LOAN_CHECK_INTERVAL_MS", 500)
         )
         self.duration_s = 30
-        self.start_shards()
-        job = self.submit_wide()
-        self.wait_for(lambda: len(self.active_runs()) == self.TASKS, 5)
+        job = self.start_wide()
         self.duration_s = 1.0
         self.crash_workers_of_borrower(job)
         self.wait_for_state(job, workflow_pb2.JOB_COMPLETED, 25)
@@ -289,9 +284,7 @@
     def test_next_owner_does_not_run_a_loan_again(self):
         # The borrower's part is over long before the job, and its rows stay as
         # long as the loan does.
-        self.start_shards()
-        job = self.submit_wide()
-        self.wait_for(lambda: len(self.active_runs()) == self.TASKS, 5)
+        job = self.start_wide()
         self.wait_for(lambda: len(self.shards_used()) == 2, 1)
         eventlet.sleep(2.5)
         for name in list(self.nodes):
