Orders on their way to a crashed emulated worker are dropped

Cause, seen with the crashes and late starts printed: the emulator carried out a start that it had delayed by up to 3 s on a worker that it had meanwhile removed, so the run was written into the history and nothing could end it. The product had no part in it: the worker was gone, and the tasks had been placed elsewhere.

Late orders now arrive only if their worker still stands. The test names the active runs when it fails, which the bare time before did not.

--- a/packages/wisterialug-standins/src/wisterialug_standins/emulated_workers.py
+++ b/packages/wisterialug-standins/src/wisterialug_standins/emulated_workers.py
@@ -25,6 +25,9 @@
 TICK_S = 0.01
 LATENCY_S = 0.002
 MAX_LEASE_MS = 10_000
+# Of orders that arrive late.
+MIN_ORDER_DELAY_S = 0.5
+MAX_ORDER_DELAY_S = 3.0
 
 
 class EmulatedFleet(worker_calls.WorkerCalls, sources.WorkerRegistry):
@@ -242,8 +245,8 @@
             eventlet.sleep(timeout_s)
             return result.Err(errors.NoAnswerError("unreachable"))
         if self._rng.random() < target.late_order_rate:
-            delay_s = self._rng.uniform(0.5, 3.0)
-            eventlet.spawn_after(delay_s, carry_out, target)
+            delay_s = self._rng.uniform(MIN_ORDER_DELAY_S, MAX_ORDER_DELAY_S)
+            eventlet.spawn_after(delay_s, self._arrive_late, target, carry_out)
             eventlet.sleep(timeout_s)
             return result.Err(errors.NoAnswerError("order delayed"))
         error = carry_out(target)
@@ -254,6 +257,17 @@
             return result.Err(error)
         return result.Ok(worker_calls.Reply(_clock_ms(), sent_s, clock.now_s()))
 
+    def _arrive_late(
+        self,
+        target: emulated_worker.EmulatedWorker,
+        carry_out: Callable[
+            [emulated_worker.EmulatedWorker], errors.WorkerError | None
+        ],
+    ) -> None:
+        """Carries out an order, unless its worker has crashed meanwhile."""
+        if self.workers.get(target.report.id) is target:
+            carry_out(target)
+
     def _start_run(
         self,
         target: emulated_worker.EmulatedWorker,
--- a/tests/test_daemon/test_workflow_shards.py
+++ b/tests/test_daemon/test_workflow_shards.py
@@ -330,7 +330,7 @@
         for job in jobs:
             if job not in self.cancelled_s:
                 self.wait_for(lambda job=job: self.state(job) in final, 40, job)
-        self.wait_for(lambda: not self.active_runs(), 10)
+        self.wait_for(lambda: not self.active_runs(), 10, self.active_runs)
         self.check_invariants()
 
     def random_steps(self):
--- a/tests/test_daemon/workflow_base.py
+++ b/tests/test_daemon/workflow_base.py
@@ -177,9 +177,11 @@
         self.wait_for(lambda: self.state(job) == state, within_s, job)
 
     def wait_for(self, condition, within_s, message=""):
+        """Waits for a condition; `message` may be called for its text."""
         until_s = clock.now_s() + within_s
         while not condition():
-            self.assertLess(clock.now_s(), until_s, message)
+            if clock.now_s() >= until_s:
+                self.fail(str(message() if callable(message) else message))
             eventlet.sleep(0.05)
 
     def check_invariants(self):
--- a/tests/test_standins/test_emulated_workers.py
+++ b/tests/test_standins/test_emulated_workers.py
@@ -52,3 +52,19 @@
         self.fleet.stop(report, "j.0.0.0", 1, 1, TIMEOUT_S)
         ends = [record.end for record in self.fleet.history]
         self.assertEqual([model.RunEnd.STOPPED, model.RunEnd.BROKEN], ends)
+
+
+class CrashTest(testtools.TestCase):
+    """Orders that are on their way while their worker crashes."""
+
+    def test_late_order_to_a_crashed_worker_begins_no_run(self):
+        fleet = emulated_workers.EmulatedFleet(random.Random(1), lambda _: 1.0)
+        self.addCleanup(fleet.close)
+        worker = fleet.add("w0")
+        worker.late_order_rate = 1.0
+        deadline_ms = int(clock.now_s() * 1000) + LEASE_MS
+        order = worker_calls.StartOrder("j.0.0.0", 1, "x", "", deadline_ms, 1)
+        fleet.start(worker.report, order, 0.01)
+        fleet.crash("w0")
+        eventlet.sleep(emulated_workers.MAX_ORDER_DELAY_S + 0.1)
+        self.assertEqual([], fleet.history)
