An unreadable layout row is written again

A row that could not be decoded was logged and nothing more: VMs that started later knew no split of the workers and placed no job, and the owner of the first shard could not add racks, since its commits asked for a version that was gone.

An owner that knows the layout now replaces the row, in one commit that asks for the broken row's version, so that one of several wins. An owner that knows none waits for the settling time before it draws one up, because that could give workers to other shards while their owners go on. Two tests failed before and pass.

--- a/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/layout_keeper.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/layout_keeper.py
@@ -31,10 +31,12 @@
 
     Attributes:
       layout: The newest layout seen.
+      damaged: The row in the store can't be read.
     """
 
     def __init__(self, store: row_store.RowStore, vms: members.Members) -> None:
         self.layout = layouts.Layout()
+        self.damaged = False
         self._store = store
         self._vms = vms
         self._version = 0
@@ -53,6 +55,8 @@
             logs.warning(
                 "layout-unreadable", version=row.version, error=str(exc)
             )
+            self._version = row.version
+            self.damaged = True
             return False
         self._set_layout(decoded, row.version)
         return True
@@ -70,11 +74,25 @@
         extended = layouts.extend(self.layout, listed, vms)
         if extended is None:
             return False
+        return self._commit(extended)
+
+    def rewrite(self) -> bool:
+        """Replaces an unreadable row by the layout that this VM knows.
+
+        A layout that was drawn up anew could give workers to other shards
+        while their owners go on, so an owner that knows none does not do so
+        before those that know one had time to.
+        """
+        if not self.damaged or not self.layout.message.racks:
+            return False
+        return self._commit(self.layout.message)
+
+    def _commit(self, changed: workflow_pb2.Layout) -> bool:
         ref = records.layout()
         outcome = self._store.commit(
             row_store.Transaction(
                 conditions=((ref, self._version),),
-                writes=((ref, extended.SerializeToString()),),
+                writes=((ref, changed.SerializeToString()),),
             ),
             COMMIT_TIMEOUT_S,
         )
@@ -83,7 +101,7 @@
             return False
         if outcome.ok_value <= self._version:
             return False
-        self._set_layout(extended, outcome.ok_value)
+        self._set_layout(changed, outcome.ok_value)
         return True
 
     def _has_settled(self, listed: int) -> bool:
@@ -99,6 +117,7 @@
 
     def _set_layout(self, decoded: workflow_pb2.Layout, version: int) -> None:
         self._version = version
+        self.damaged = False
         self.layout = layouts.Layout(decoded)
         logs.event(
             "layout",
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/shard_feeds.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/shard_feeds.py
@@ -73,6 +73,7 @@
                 continue
             cursor = outcome.ok_value.cursor
             self._apply_workers(outcome.ok_value)
+            self._keeper.rewrite()
             if self._unplaced and self._owner.rows.shard == records.FIRST_SHARD:
                 self._place_racks()
             eventlet.sleep(REGISTRY_SPACING_S)
--- a/tests/test_daemon/test_layout_keeper.py
+++ b/tests/test_daemon/test_layout_keeper.py
@@ -7,7 +7,7 @@
 
 from tests.test_core.test_workflow import test_layouts
 from tests.test_daemon import workflow_base
-from wisterialug_daemon.workflow import layout_keeper, records
+from wisterialug_daemon.workflow import layout_keeper, records, row_store
 from wisterialug_standins import memory_store
 
 
@@ -67,6 +67,40 @@
         self.assertFalse(self.keeper.apply(broken))
         self.assertIs(before, self.keeper.layout)
 
+    def break_row(self):
+        """Overwrites the row in the store; returns what is read from there."""
+        ref = records.layout()
+        self.store.commit(
+            row_store.Transaction(
+                conditions=((ref, self.row().version),),
+                writes=((ref, b"\xff"),),
+            ),
+            1.0,
+        )
+        return self.row()
+
+    def test_owner_that_knows_the_layout_replaces_an_unreadable_row(self):
+        self.extend_settled(self.keeper, self.reports)
+        before = self.keeper.layout.message
+        broken = self.break_row()
+        self.assertFalse(self.keeper.rewrite())
+        self.keeper.apply(broken)
+        self.assertTrue(self.keeper.rewrite())
+        late = layout_keeper.LayoutKeeper(self.store, self.vms)
+        self.assertTrue(late.apply(self.row()))
+        self.assertEqual(before, late.layout.message)
+        self.assertFalse(self.keeper.rewrite())
+
+    def test_unreadable_row_that_nobody_knows_is_drawn_up_anew(self):
+        self.extend_settled(self.keeper, self.reports)
+        late = layout_keeper.LayoutKeeper(self.store, self.vms)
+        late.apply(self.break_row())
+        self.assertFalse(late.rewrite())
+        self.assertTrue(self.extend_settled(late, self.reports))
+        self.assertFalse(late.damaged)
+        for worker in self.reports:
+            self.assertIsNotNone(late.layout.shard_of(worker))
+
     def row(self):
         ref = records.layout()
         read = self.store.scan(ref.table, ref.part, timeout_s=1.0)
