VMs that the store turns away begin with different relays

Each VM tried the relays from the start of the same list, so that all VMs of a cut zone (20 on the large site) sent their calls through the first VM listed. The test has 40 VMs with the same list of 20: all 40 began at the first one, now fewer than ten at any.

--- a/tests/test_platform/test_store.py
+++ b/tests/test_platform/test_store.py
@@ -1,7 +1,9 @@
 """Tests of the store client: relays, lost responses, unreadable rows."""
 
 import base64
+import collections
 import json
+import random
 
 import result
 import testtools
@@ -86,6 +88,22 @@
         self.store.commit(CHANGE, 1.0)
         self.assertEqual("p2", self.client.calls[0][0])
 
+    def test_vms_begin_with_different_relays(self):
+        # 40 VMs that the store turns away, with the same list of others.
+        peers = [f"p{number}" for number in range(20)]
+        first = collections.Counter()
+        for seed in range(40):
+            client = FakeClient(
+                lambda address: response(
+                    503 if address == "store" else 200, ver=1
+                )
+            )
+            store.PlatformStore(
+                client, "store", lambda: peers, random.Random(seed)
+            ).commit(CHANGE, 1.0)
+            first[client.calls[1][0]] += 1
+        self.assertLess(max(first.values()), 10)
+
     def test_no_call_starts_after_the_timeout(self):
         def slow(address):
             del address
