Short tasks run in a service that is full of long-running ones

They took each gap that a short run left: between 20 and 40 s pickups got 5 to 20 starts in five seconds, of some 300, and half of them waited for over 18 s.

Ruled out: small finite tasks that fill the gaps.

Change: short tasks of at least the same priority go before long-running ones up to a fifth of the processors (finite_first.py); for those that reach their latest start, long-running runs are stopped (preemption.py), the ones with the least work lost.

--- a/packages/wisterialug-core/src/wisterialug_core/workflow/step_placement.py
+++ b/packages/wisterialug-core/src/wisterialug_core/workflow/step_placement.py
@@ -13,6 +13,7 @@
 from wisterialug_core.decisions import resources
 from wisterialug_core.workflow import (
     fill_interference,
+    finite_first,
     job_table,
     model,
     urgency,
@@ -59,10 +60,13 @@
     if not usable:
         return []
     this_round = _Round(jobs, workers, interference, usable, now_s, now_ms)
-    for group, waiting in pending_groups(jobs, now_s, now_ms, order)[
-        :MAX_GROUPS_PER_ROUND
-    ]:
-        this_round.place(group, waiting)
+    queue = pending_groups(jobs, now_s, now_ms, order)[:MAX_GROUPS_PER_ROUND]
+    for group, waiting in finite_first.select(queue, jobs, usable, now_ms):
+        this_round.place(group, waiting, first=True)
+    for group, waiting in queue:
+        left = [task for task in waiting if task.pending]
+        if left:
+            this_round.place(group, left)
     return this_round.placements
 
 
@@ -118,18 +122,32 @@
         for worker in usable:
             self._most_free = self._most_free.at_least(worker.free())
 
-    def place(self, group: model.GroupKey, waiting: list[model.Task]) -> None:
-        """Places as many waiting tasks of a group as fit."""
+    def place(
+        self,
+        group: model.GroupKey,
+        waiting: list[model.Task],
+        *,
+        first: bool = False,
+    ) -> None:
+        """Places as many waiting tasks of a group as fit.
+
+        Args:
+          group: The group.
+          waiting: Its tasks.
+          first: Whether they go before long-running tasks.
+        """
         entry = self._jobs.jobs[group.job]
         step = entry.job.steps[group.step]
         starved = self._is_starved(entry, step)
         if not starved and self._is_exhausted(entry, step):
             return
-        candidates = _eligible_workers(entry, step, self._usable)
+        candidates = eligible_workers(entry, step, self._usable)
         if not step.long_running:
             candidates = [
                 w for w in candidates if w.report.id not in self._held
             ]
+        if not (first or step.fills):
+            candidates = [w for w in candidates if not self._is_kept(w, step)]
         if step.gang:
             self.placements += _place_gang(
                 entry.group(group),
@@ -183,6 +201,20 @@
             )
         )
 
+    def _is_kept(
+        self, worker: worker_table.Worker, step: workflow_pb2.Step
+    ) -> bool:
+        """Returns whether a worker's room is kept for tasks that go first.
+
+        Room for two is never kept from a long-running task.
+        """
+        if self._now_s >= worker.kept_until_s:
+            return False
+        return not (
+            step.long_running
+            and worker.free().cpu_millicores >= 2 * step.cpu_millicores
+        )
+
     def _is_exhausted(
         self, entry: job_entry.JobEntry, step: workflow_pb2.Step
     ) -> bool:
@@ -225,7 +257,7 @@
     """Returns whether one more task of a group fits at a useful pace."""
     step = entry.job.steps[group.step]
     usable = [w for w in workers.workers.values() if w.usable(now_s)]
-    candidates = _eligible_workers(entry, step, usable)
+    candidates = eligible_workers(entry, step, usable)
     return (
         worker_rating.Candidates(step, group, candidates, interference).best()
         is not None
@@ -250,7 +282,7 @@
     )
 
 
-def _eligible_workers(
+def eligible_workers(
     entry: job_entry.JobEntry,
     step: workflow_pb2.Step,
     usable: list[worker_table.Worker],
--- a/packages/wisterialug-core/src/wisterialug_core/workflow/worker_table.py
+++ b/packages/wisterialug-core/src/wisterialug_core/workflow/worker_table.py
@@ -33,6 +33,8 @@
       fill_millicores: Processor time that fill runs request.
       silent_since_s: When the unanswered calls began; 0 if there are none.
       fenced: The worker has answered under this owner's epoch.
+      kept_until_s: Until when its room is kept for tasks that go before
+        long-running ones.
       step_counts: Active runs by group.
       serving: Runs of tasks that serve users, by image.
       samples: Latest samples of its runs.
@@ -53,6 +55,7 @@
     )
     silent_since_s: float = 0.0
     fenced: bool = False
+    kept_until_s: float = 0.0
     gone: bool = False
     step_counts: dict[model.GroupKey, int] = dataclasses.field(
         default_factory=dict
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/dispatcher.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/dispatcher.py
@@ -6,7 +6,7 @@
 
 import eventlet
 
-from wisterialug_core.workflow import model
+from wisterialug_core.workflow import model, preemption
 from wisterialug_daemon import logs
 from wisterialug_daemon.workflow import clock, errors, worker_calls
 
@@ -21,6 +21,8 @@
 # Time before a task that could not start is retried.
 REJECTED_BACKOFF_S = 0.3
 INVALID_BACKOFF_S = 2.0
+# A stop takes about as long to free room.
+MAKE_ROOM_INTERVAL_S = 0.1
 
 
 class Dispatcher:
@@ -29,6 +31,7 @@
     def __init__(self, owner: owner.ShardOwner) -> None:
         self._owner = owner
         self._stopping: set[tuple[model.TaskKey, int]] = set()
+        self._made_room_s = 0.0
 
     def send(self, start: step_placement.Placement) -> None:
         """Sends a committed start."""
@@ -48,6 +51,19 @@
                     elif self._must_move(task, entry.job):
                         self.stop(task, "worker is draining")
 
+    def make_room(self, now_s: float) -> None:
+        """Stops long-running runs for short tasks that can wait no longer."""
+        if now_s - self._made_room_s < MAKE_ROOM_INTERVAL_S:
+            return
+        self._made_room_s = now_s
+        for task in preemption.select(
+            self._owner.shard_jobs,
+            self._owner.shard_workers,
+            now_s,
+            clock.wall_ms(),
+        ):
+            self.stop(task, "room for short tasks")
+
     def stop(self, task: model.Task, why: str) -> None:
         """Stops a task's active run; its end arrives in a report."""
         order = (task.key, task.run)
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/owner.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/owner.py
@@ -352,6 +352,7 @@
                 clock.wall_ms(),
             )
         self._dispatcher.stop_unwanted()
+        self._dispatcher.make_room(now_s)
         self._lender.check(now_s)
         renewal_due = now_s - self.rows.renewed_s >= RENEWAL_INTERVAL_S
         if self.shard_jobs.dirty or renewal_due:
