--- a/tests/test_daemon/workflow_base.py
+++ b/tests/test_daemon/workflow_base.py
@@ -198,6 +198,32 @@
         )
 
 
+class ShardsTestCase(WorkflowTest):
+    """Provides workers for two shards, in two data centres."""
+
+    # Two thirds of what two VMs with one processor can carry.
+    WORKERS = 80
+
+    def start_shards(self, nodes=3):
+        for number in range(self.WORKERS):
+            rack = number // 10
+            self.fleet.add(
+                f"w{number}", rack=f"r{rack}", data_centre=f"dc{rack % 2}"
+            )
+        for number in range(nodes):
+            self.start_node(f"n{number}")
+        self.wait_for(lambda: self.owned_shards() == 2, 10)
+
+    def owned_shards(self):
+        return sum(len(n.election.owned()) for n in self.nodes.values())
+
+    def owned_by_vm(self):
+        return sorted(len(n.election.owned()) for n in self.nodes.values())
+
+    def active_runs(self):
+        return [r for r in self.fleet.history if r.end is None]
+
+
 def step(count=1, **fields):
     """Returns a step of small tasks."""
     fields.setdefault("cpu_millicores", 1000)
