One way to read a single row; faults of VMs and store in one place of the tests

lender, shared_effects and intake each spelled out the scan of one key; it is row_store.scan_row now. MixedFaultsTest and MixedShardsTest shared the injection and the end of faults; both stand in WorkflowTest, with the same draws from the same seeds.

--- a/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/intake.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/intake.py
@@ -285,12 +285,8 @@
             left_s = until_s - clock.now_s()
             if left_s <= 0:
                 return None
-            outcome = self._store.scan(
-                ref.table,
-                ref.part,
-                ref.key,
-                ref.key + "\0",
-                timeout_s=min(STORE_TIMEOUT_S, left_s),
+            outcome = row_store.scan_row(
+                self._store, ref, min(STORE_TIMEOUT_S, left_s)
             )
             if outcome.is_ok():
                 return outcome.ok_value
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/lender.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/lender.py
@@ -7,13 +7,13 @@
 from wisterialug_core.schema import workflow_pb2
 from wisterialug_core.workflow import lending, loans, model, step_placement
 from wisterialug_daemon import logs
-from wisterialug_daemon.workflow import clock, records
+from wisterialug_daemon.workflow import clock, records, row_store
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Mapping
 
     from wisterialug_core.workflow import job_entry, job_table
-    from wisterialug_daemon.workflow import layout_keeper, row_store
+    from wisterialug_daemon.workflow import layout_keeper
 
 # Finite tasks are lent by the first check that finds them waiting: how soon room
 # falls free here is not known, and a loan takes some 50 ms.
@@ -252,13 +252,7 @@
         """
         for lender in entry.lenders:
             ref = records.loan(entry.job.id, lender, self._shard)
-            read = self._store.scan(
-                ref.table,
-                ref.part,
-                ref.key,
-                ref.key + "\0",
-                timeout_s=READ_TIMEOUT_S,
-            )
+            read = row_store.scan_row(self._store, ref, READ_TIMEOUT_S)
             if read.is_err() or read.ok_value.rows:
                 return True
         return False
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/row_store.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/row_store.py
@@ -92,6 +92,15 @@
         """Waits for changes of a table after a version."""
 
 
+def scan_row(
+    store: RowStore, ref: RowRef, timeout_s: float
+) -> result.Result[Snapshot, errors.StoreError]:
+    """Reads one row; the snapshot is empty if there is none."""
+    return store.scan(
+        ref.table, ref.part, ref.key, ref.key + "\0", timeout_s=timeout_s
+    )
+
+
 def scan_all(
     store: RowStore, table: str, part: str, timeout_s: float
 ) -> result.Result[Snapshot, errors.StoreError]:
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/shared_effects.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/shared_effects.py
@@ -10,14 +10,10 @@
 
 from wisterialug_core.schema import workflow_pb2
 from wisterialug_daemon import logs
-from wisterialug_daemon.workflow import records
+from wisterialug_daemon.workflow import records, row_store
 
 if TYPE_CHECKING:
-    from wisterialug_daemon.workflow import (
-        layout_keeper,
-        owner,
-        row_store,
-    )
+    from wisterialug_daemon.workflow import layout_keeper, owner
 
 # As often as owners save what they learn.
 READ_INTERVAL_S = 3.0
@@ -66,13 +62,7 @@
 
     def _read(self, shard: str) -> None:
         ref = records.effects(shard)
-        read = self._store.scan(
-            ref.table,
-            ref.part,
-            ref.key,
-            ref.key + "\0",
-            timeout_s=READ_TIMEOUT_S,
-        )
+        read = row_store.scan_row(self._store, ref, READ_TIMEOUT_S)
         if read.is_err():
             # The next round reads it again; old estimates stay in use.
             return
--- a/tests/test_daemon/test_workflow_mixed.py
+++ b/tests/test_daemon/test_workflow_mixed.py
@@ -74,15 +74,7 @@
             ]
         )
         workers = self.rng.sample(list(self.fleet.workers), 5)
-        if fault == "kill":
-            self.kill_node(self.rng.choice(list(self.nodes)))
-            self.start_node(f"s{self.seed}-{number}")
-        elif fault == "lost":
-            self.store.lost_reply_rate = 0.5
-        elif fault == "down":
-            self.store.down = True
-        elif fault == "forget":
-            self.store.compact_history()
+        self.inject_control_fault(fault, number)
         for name in workers:
             if fault == "silent":
                 self.fleet.workers[name].unreachable = True
@@ -93,13 +85,6 @@
             elif fault == "drain":
                 self.fleet.drain(name)
 
-    def clear_faults(self):
-        self.store.lost_reply_rate = 0.0
-        self.store.down = False
-        for worker in self.fleet.workers.values():
-            worker.unreachable = False
-            worker.late_order_rate = 0.0
-
 
 class MixedLoansTest(MixedShardsTest):
     """The same with steps that are wider than a shard."""
--- a/tests/test_daemon/test_workflow_scheduler.py
+++ b/tests/test_daemon/test_workflow_scheduler.py
@@ -300,26 +300,12 @@
 
     def inject_fault(self, fault, number):
         worker = self.rng.choice(list(self.fleet.workers.values()))
-        if fault == "kill":
-            self.kill_node(self.rng.choice(list(self.nodes)))
-            self.start_node(f"s{self.seed}-{number}")
-        elif fault == "lost":
-            self.store.lost_reply_rate = 0.5
-        elif fault == "down":
-            self.store.down = True
-        elif fault == "silent":
+        if fault == "silent":
             worker.unreachable = True
         elif fault == "late":
             worker.late_order_rate = 0.5
         else:
-            self.store.compact_history()
-
-    def clear_faults(self):
-        self.store.lost_reply_rate = 0.0
-        self.store.down = False
-        for worker in self.fleet.workers.values():
-            worker.unreachable = False
-            worker.late_order_rate = 0.0
+            self.inject_control_fault(fault, number)
 
 
 class FullServiceTest(workflow_base.WorkflowTest):
--- a/tests/test_daemon/workflow_base.py
+++ b/tests/test_daemon/workflow_base.py
@@ -184,6 +184,25 @@
                 self.fail(str(message() if callable(message) else message))
             eventlet.sleep(0.05)
 
+    def inject_control_fault(self, fault, number):
+        """Injects a fault of a VM or of the store; other faults do nothing."""
+        if fault == "kill":
+            self.kill_node(self.rng.choice(list(self.nodes)))
+            self.start_node(f"s{self.seed}-{number}")
+        elif fault == "lost":
+            self.store.lost_reply_rate = 0.5
+        elif fault == "down":
+            self.store.down = True
+        elif fault == "forget":
+            self.store.compact_history()
+
+    def clear_faults(self):
+        self.store.lost_reply_rate = 0.0
+        self.store.down = False
+        for worker in self.fleet.workers.values():
+            worker.unreachable = False
+            worker.late_order_rate = 0.0
+
     def check_invariants(self):
         self.assertEqual(
             [],
