--- a/packages/wisterialug-standins/src/wisterialug_standins/capacity.py
+++ b/packages/wisterialug-standins/src/wisterialug_standins/capacity.py
@@ -23,14 +23,12 @@
     task_order,
 )
 from wisterialug_core.schema import config_pb2, peer_pb2, work_pb2
-from wisterialug_standins import fleet, report, worker_model
+from wisterialug_standins import idle_daemons, report, worker_model
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
 KIB = 1024
-IDLE_S = 20.0
-SETTLE_S = 5.0
 MEMBER_COUNTS = (9, 54, 540)
 ROW_COUNTS = (1_000, 4_000, 16_000)
 WORKER_COUNTS = (12, 120, 1_200, 4_200)
@@ -57,10 +55,10 @@
     """
     results = [func()]
     gc.collect()
-    before = _proc_value("/proc/self/status", "VmRSS:")
+    before = idle_daemons.proc_value("/proc/self/status", "VmRSS:")
     results += [func() for _ in range(copies)]
     gc.collect()
-    growth_kib = _proc_value("/proc/self/status", "VmRSS:") - before
+    growth_kib = idle_daemons.proc_value("/proc/self/status", "VmRSS:") - before
     del results
     return growth_kib / copies
 
@@ -312,82 +310,6 @@
     return cpu_s, size_bytes
 
 
-def processes() -> list[dict]:
-    """Measures idle daemons by number of data centres and workers."""
-    rows = []
-    for dcs, workers in ((1, 0), (2, 0), (3, 0), (1, 12), (1, 24)):
-        spec = fleet.FleetSpec(data_centres=dcs, workers=workers, instances=1)
-        with fleet.Fleet(spec) as system:
-            time.sleep(SETTLE_S)
-            before = _sample(system)
-            time.sleep(IDLE_S)
-            after = _sample(system)
-        count = len(system.daemons)
-        rows.append(
-            {
-                "way": "idle daemons",
-                "entry_vms": count,
-                "workers_a_centre": workers,
-                "rss_mib": max(vm["rss_kib"] for vm in after["vms"]) / KIB,
-                "cpu_percent": _vm_rate(before, after, "cpu_s") * 100 / count,
-                "peer_bytes_s": _vm_rate(before, after, "peer_bytes") / count,
-                "table_bytes_s": _table_rate(before, after, "bytes") / count,
-                "table_reads_s": _table_rate(before, after, "reads"),
-                "table_writes_s": _table_rate(before, after, "writes"),
-                "loop_lag_max_ms": max(
-                    vm["loop_lag_max_s"] for vm in after["vms"]
-                )
-                * 1000,
-            }
-        )
-    return rows
-
-
-def _sample(system: fleet.Fleet) -> dict:
-    return {
-        "time": time.monotonic(),
-        "table": system.table_stats(),
-        "vms": [_sample_vm(system, d) for d in system.daemons.values()],
-    }
-
-
-def _sample_vm(system: fleet.Fleet, daemon: fleet.Daemon) -> dict:
-    values: dict[str, float] = {}
-    text = system.http.request("GET", daemon.metrics_url + "/metrics").data
-    for line in text.decode().splitlines():
-        if not line.startswith("#"):
-            name, _, value = line.rpartition(" ")
-            name = name.partition("{")[0]
-            values[name] = values.get(name, 0.0) + float(value)
-    proc = f"/proc/{daemon.process.pid}/"
-    return {
-        "rss_kib": _proc_value(proc + "status", "VmRSS:"),
-        "cpu_s": fleet.cpu_s(daemon.process.pid),
-        "peer_bytes": values["wisterialug_peer_bytes_total"],
-        "loop_lag_max_s": values["wisterialug_loop_lag_max_seconds"],
-    }
-
-
-def _proc_value(file: str, name: str) -> int:
-    with open(file, encoding="ascii") as lines:
-        for line in lines:
-            if line.startswith(name):
-                return int(line.split()[1])
-    raise KeyError(name)
-
-
-def _vm_rate(before: dict, after: dict, name: str) -> float:
-    change = sum(vm[name] for vm in after["vms"]) - sum(
-        vm[name] for vm in before["vms"]
-    )
-    return change / (after["time"] - before["time"])
-
-
-def _table_rate(before: dict, after: dict, name: str) -> float:
-    change = after["table"][name] - before["table"][name]
-    return change / (after["time"] - before["time"])
-
-
 def main() -> int:
     """Prints one table for each kind of cost."""
     parser = argparse.ArgumentParser(prog="capacity")
@@ -397,7 +319,7 @@
         for measure in (members, config, tasks, scheduling):
             print(report.table(measure()), end="\n\n")
     else:
-        print(report.table(processes()))
+        print(report.table(idle_daemons.measure()))
     return 0
 
 
--- a/packages/wisterialug-standins/src/wisterialug_standins/demo.py
+++ b/packages/wisterialug-standins/src/wisterialug_standins/demo.py
@@ -15,7 +15,7 @@
 
 import urllib3
 
-from wisterialug_standins import fleet, uuid7
+from wisterialug_standins import fleet, fleet_hosts, uuid7
 
 LIMITS_CSV = """\
 customer,kind,name,weight,max_in_flight,max_queue,max_rate_per_s,\
@@ -54,7 +54,7 @@
         self._folder = folder
         self._failures: list[str] = []
         self._token_file = folder / "operators.token"
-        self._token_file.write_text(fleet.TOKEN)
+        self._token_file.write_text(fleet_hosts.TOKEN)
 
     def run(self) -> int:
         """Runs all steps; returns the number that failed."""
@@ -289,7 +289,7 @@
     started = time.monotonic()
     print("wisterialug demo: 9 entry VMs in 3 data centres")
     with tempfile.TemporaryDirectory() as folder:
-        with fleet.Fleet(fleet.FleetSpec()) as system:
+        with fleet.Fleet(fleet_hosts.FleetSpec()) as system:
             print(f"  all ready after {time.monotonic() - started:.1f} s")
             failed = _Demo(system, pathlib.Path(folder)).run()
     print(f"{failed} checks failed, {time.monotonic() - started:.1f} s")
--- a/packages/wisterialug-standins/src/wisterialug_standins/experiment.py
+++ b/packages/wisterialug-standins/src/wisterialug_standins/experiment.py
@@ -15,7 +15,7 @@
 
 from hdrh import histogram
 
-from wisterialug_standins import fleet, ideal_queue, load, report
+from wisterialug_standins import fleet, fleet_hosts, ideal_queue, load, report
 
 ENTRY_VMS = 3
 INSTANCES = 10
@@ -105,8 +105,8 @@
     return rows
 
 
-def _fleet_spec(policy: str, mean_s: float) -> fleet.FleetSpec:
-    return fleet.FleetSpec(
+def _fleet_spec(policy: str, mean_s: float) -> fleet_hosts.FleetSpec:
+    return fleet_hosts.FleetSpec(
         data_centres=1,
         entry_vms=ENTRY_VMS,
         workers=0,
@@ -171,7 +171,7 @@
 
 
 def _cpu_s(system: fleet.Fleet, vm: str) -> float:
-    return fleet.cpu_s(system.daemons[vm].process.pid)
+    return fleet_hosts.cpu_s(system.daemons[vm].process.pid)
 
 
 def _instance_ids(system: fleet.Fleet) -> list[str]:
--- a/packages/wisterialug-standins/src/wisterialug_standins/fleet.py
+++ b/packages/wisterialug-standins/src/wisterialug_standins/fleet.py
@@ -3,9 +3,7 @@
 from __future__ import annotations
 
 import contextlib
-import dataclasses
 import json
-import os
 import pathlib
 import random
 import signal
@@ -18,72 +16,20 @@
 
 import urllib3
 
+from wisterialug_standins import fleet_hosts
+
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
 
-CALLER_PORT = 8080
-OPERATOR_PORT = 8081
-PEER_PORT = 8082
-METRICS_PORT = 8083
-TABLE_PORT = 8090
-VM_LIST_PORT = 8091
-CONTROL_PORT = 8092
-OBJECT_PORT = 8093
-LOCK_PORT = 8099
-UPSTREAM_PORT = 8100
-TOKEN = "operators-token"
 POLL_S = 0.05
 
 
-@dataclasses.dataclass(frozen=True)
-class FleetSpec:
-    """Counts per data centre, and settings of the daemons."""
-
-    data_centres: int = 3
-    entry_vms: int = 3
-    workers: int = 3
-    instances: int = 3
-    slots: int = 8
-    service_mean_s: float = 0.01
-    worker_capacity: tuple[int, int, int] = (16_000, 64_000, 0)
-    customer: str = "siam"
-    service: str = "dispatch"
-    # Fault proxies from entry VMs to the table and to each other.
-    proxies: bool = False
-    instance_proxies: bool = False
-    settings: tuple[str, ...] = ()
-
-
-@dataclasses.dataclass
-class Daemon:
-    """One wisterialugd process."""
-
-    vm: str
-    data_centre: str
-    ip: str
-    args: list[str]
-    process: subprocess.Popen | None = None
-
-    @property
-    def caller_url(self) -> str:
-        """The base URL for callers."""
-        return f"http://{self.ip}:{CALLER_PORT}"
-
-    @property
-    def operator_url(self) -> str:
-        """The base URL for operators."""
-        return f"http://{self.ip}:{OPERATOR_PORT}"
-
-    @property
-    def metrics_url(self) -> str:
-        """The base URL for monitoring."""
-        return f"http://{self.ip}:{METRICS_PORT}"
-
-
 class Fleet:
     """Entry VMs, platform, workers and instances on loopback addresses."""
 
-    def __init__(self, spec: FleetSpec, log_dir: str | None = None) -> None:
+    def __init__(
+        self, spec: fleet_hosts.FleetSpec, log_dir: str | None = None
+    ) -> None:
         self.spec = spec
         self._stack = contextlib.ExitStack()
         # Concurrent fleets differ in the second octet of their addresses.
@@ -93,8 +39,8 @@
             log_dir or self._stack.enter_context(tempfile.TemporaryDirectory())
         )
         self._token_file = self._log_dir / "token"
-        self._token_file.write_text(TOKEN)
-        self.daemons: dict[str, Daemon] = {}
+        self._token_file.write_text(fleet_hosts.TOKEN)
+        self.daemons: dict[str, fleet_hosts.Daemon] = {}
         self.vms: dict[str, dict] = {}
         self._views: dict[str, dict[str, dict]] = {}
         self._host_specs: list[dict] = []
@@ -120,7 +66,7 @@
             octet = random.SystemRandom().randrange(16, 250)
             lock = socket.socket()
             try:
-                lock.bind((f"127.{octet}.0.1", LOCK_PORT))
+                lock.bind((f"127.{octet}.0.1", fleet_hosts.LOCK_PORT))
             except OSError:
                 lock.close()
                 continue
@@ -136,16 +82,28 @@
     @property
     def table_url(self) -> str:
         """The base URL of the table service, without a proxy."""
-        return f"http://{self.ip(0, 1)}:{TABLE_PORT}"
+        return f"http://{self.ip(0, 1)}:{fleet_hosts.TABLE_PORT}"
 
     def _define_hosts(self) -> None:
         spec = self.spec
         platform = self.ip(0, 1)
         self._host_specs = [
-            {"kind": "table", "ip": platform, "port": TABLE_PORT},
-            {"kind": "vm-list", "ip": platform, "port": VM_LIST_PORT},
-            {"kind": "object-store", "ip": platform, "port": OBJECT_PORT},
-            {"kind": "proxy-control", "ip": platform, "port": CONTROL_PORT},
+            {"kind": "table", "ip": platform, "port": fleet_hosts.TABLE_PORT},
+            {
+                "kind": "vm-list",
+                "ip": platform,
+                "port": fleet_hosts.VM_LIST_PORT,
+            },
+            {
+                "kind": "object-store",
+                "ip": platform,
+                "port": fleet_hosts.OBJECT_PORT,
+            },
+            {
+                "kind": "proxy-control",
+                "ip": platform,
+                "port": fleet_hosts.CONTROL_PORT,
+            },
         ]
         for dc in range(1, spec.data_centres + 1):
             for n in range(1, spec.entry_vms + 1):
@@ -167,25 +125,27 @@
                     "kind": "proxy",
                     "name": f"{vm}>table",
                     "ip": table_ip,
-                    "port": TABLE_PORT,
-                    "target": [self.ip(0, 1), TABLE_PORT],
+                    "port": fleet_hosts.TABLE_PORT,
+                    "target": [self.ip(0, 1), fleet_hosts.TABLE_PORT],
                 }
             )
         args = [
             f"--vm-id={vm}",
             f"--data-centre=dc-{dc}",
             f"--ip={ip}",
-            f"--caller-port={CALLER_PORT}",
-            f"--operator-port={OPERATOR_PORT}",
-            f"--peer-port={PEER_PORT}",
-            f"--metrics-port={METRICS_PORT}",
-            f"--table-url=http://{table_ip}:{TABLE_PORT}",
-            f"--vm-list-url=http://{self.ip(0, 1)}:{VM_LIST_PORT}/{vm}",
+            f"--caller-port={fleet_hosts.CALLER_PORT}",
+            f"--operator-port={fleet_hosts.OPERATOR_PORT}",
+            f"--peer-port={fleet_hosts.PEER_PORT}",
+            f"--metrics-port={fleet_hosts.METRICS_PORT}",
+            f"--table-url=http://{table_ip}:{fleet_hosts.TABLE_PORT}",
+            f"--vm-list-url=http://{self.ip(0, 1)}:{fleet_hosts.VM_LIST_PORT}/{vm}",
             f"--operator-token-file={self._token_file}",
             *self.spec.settings,
         ]
-        self.daemons[vm] = Daemon(vm, f"dc-{dc}", ip, args)
-        self.vms[vm] = _vm_row(vm, "VM_ROLE_ENTRY", dc, ip, PEER_PORT)
+        self.daemons[vm] = fleet_hosts.Daemon(vm, f"dc-{dc}", ip, args)
+        self.vms[vm] = fleet_hosts.vm_row(
+            vm, "VM_ROLE_ENTRY", dc, ip, fleet_hosts.PEER_PORT
+        )
 
     def _add_worker(self, dc: int, n: int) -> None:
         vm, ip = f"worker-{dc}-{n}", self.ip(dc, 50 + n)
@@ -193,13 +153,15 @@
             {
                 "kind": "worker",
                 "ip": ip,
-                "port": UPSTREAM_PORT,
+                "port": fleet_hosts.UPSTREAM_PORT,
                 "capacity": self.spec.worker_capacity,
-                "objects": f"http://{self.ip(0, 1)}:{OBJECT_PORT}",
+                "objects": f"http://{self.ip(0, 1)}:{fleet_hosts.OBJECT_PORT}",
             }
         )
         cpu, memory, accelerators = self.spec.worker_capacity
-        self.vms[vm] = _vm_row(vm, "VM_ROLE_WORKER", dc, ip, UPSTREAM_PORT) | {
+        self.vms[vm] = fleet_hosts.vm_row(
+            vm, "VM_ROLE_WORKER", dc, ip, fleet_hosts.UPSTREAM_PORT
+        ) | {
             "rack": "r1",
             "resources": {
                 "cpuMillicores": cpu,
@@ -214,7 +176,7 @@
             "kind": "instance",
             "name": vm,
             "ip": ip,
-            "port": UPSTREAM_PORT,
+            "port": fleet_hosts.UPSTREAM_PORT,
             "mean_s": self.spec.service_mean_s,
             "slots": self.spec.slots,
         }
@@ -227,12 +189,12 @@
                     "kind": "proxy",
                     "name": f">{vm}",
                     "ip": listed_ip,
-                    "port": UPSTREAM_PORT,
-                    "target": [ip, UPSTREAM_PORT],
+                    "port": fleet_hosts.UPSTREAM_PORT,
+                    "target": [ip, fleet_hosts.UPSTREAM_PORT],
                 }
             )
-        self.vms[vm] = _vm_row(
-            vm, "VM_ROLE_INSTANCE", dc, listed_ip, UPSTREAM_PORT
+        self.vms[vm] = fleet_hosts.vm_row(
+            vm, "VM_ROLE_INSTANCE", dc, listed_ip, fleet_hosts.UPSTREAM_PORT
         ) | {"customer": self.spec.customer, "service": self.spec.service}
 
     def _add_peer_proxies(self) -> None:
@@ -247,8 +209,11 @@
                         "kind": "proxy",
                         "name": f"{source}>{target}",
                         "ip": ip,
-                        "port": PEER_PORT,
-                        "target": [self.daemons[target].ip, PEER_PORT],
+                        "port": fleet_hosts.PEER_PORT,
+                        "target": [
+                            self.daemons[target].ip,
+                            fleet_hosts.PEER_PORT,
+                        ],
                     }
                 )
                 self._views.setdefault(source, {})[target] = {"ip": ip}
@@ -277,7 +242,7 @@
             stdin=subprocess.PIPE,
             stdout=subprocess.PIPE,
         )
-        self._stack.callback(_terminate, process)
+        self._stack.callback(fleet_hosts.terminate, process)
         return process
 
     def start_daemon(self, vm: str) -> None:
@@ -290,7 +255,7 @@
             stderr=subprocess.STDOUT,
         )
         log.close()
-        self._stack.callback(_terminate, daemon.process)
+        self._stack.callback(fleet_hosts.terminate, daemon.process)
 
     def signal_daemon(self, vm: str, signum: int) -> None:
         """Sends a signal to a daemon."""
@@ -321,7 +286,7 @@
     def publish(self) -> None:
         """Publishes the VM list."""
         self.post(
-            f"http://{self.ip(0, 1)}:{VM_LIST_PORT}/v1/vms",
+            f"http://{self.ip(0, 1)}:{fleet_hosts.VM_LIST_PORT}/v1/vms",
             {"vms": list(self.vms.values()), "views": self._views},
         )
 
@@ -330,7 +295,7 @@
     ) -> None:
         """Sets a fault on proxies by name."""
         self.post(
-            f"http://{self.ip(0, 1)}:{CONTROL_PORT}/",
+            f"http://{self.ip(0, 1)}:{fleet_hosts.CONTROL_PORT}/",
             {"names": list(names), "fault": fault, "delay_s": delay_s},
         )
 
@@ -355,7 +320,7 @@
         """Returns the base URL of a worker or instance, without a proxy."""
         dc, n = vm.split("-")[1:]
         offset = 100 if vm.startswith("instance") else 50
-        return f"http://{self.ip(int(dc), offset + int(n))}:{UPSTREAM_PORT}"
+        return f"http://{self.ip(int(dc), offset + int(n))}:{fleet_hosts.UPSTREAM_PORT}"
 
     def set_behaviour(self, vm: str, **behaviour: object) -> None:
         """Changes how a worker or instance behaves."""
@@ -382,7 +347,7 @@
             method,
             self.daemons[vm].operator_url + path,
             body=None if body is None else json.dumps(body).encode(),
-            headers={"Authorization": f"Bearer {TOKEN}"},
+            headers={"Authorization": f"Bearer {fleet_hosts.TOKEN}"},
         )
         return resp.status, json.loads(resp.data)
 
@@ -424,33 +389,3 @@
             raise TimeoutError(f"{description}: timed out after {timeout_s} s")
         time.sleep(POLL_S)
     return time.monotonic() - started
-
-
-def cpu_s(pid: int) -> float:
-    """Returns the CPU seconds that a process has used."""
-    text = pathlib.Path(f"/proc/{pid}/stat").read_text()
-    fields = text.rsplit(") ", 1)[1].split()
-    ticks = int(fields[11]) + int(fields[12])
-    return ticks / os.sysconf("SC_CLK_TCK")
-
-
-def _vm_row(vm: str, role: str, dc: int, ip: str, port: int) -> dict:
-    return {
-        "id": vm,
-        "role": role,
-        "state": "VM_STATE_LIVE",
-        "dataCentre": f"dc-{dc}",
-        "ip": ip,
-        "port": port,
-    }
-
-
-def _terminate(process: subprocess.Popen) -> None:
-    if process.poll() is None:
-        if os.name == "posix":
-            process.send_signal(signal.SIGCONT)
-        process.kill()
-        process.wait()
-    for pipe in (process.stdin, process.stdout):
-        if pipe is not None:
-            pipe.close()
--- a/tests/test_core/test_shard_machine.py
+++ b/tests/test_core/test_shard_machine.py
@@ -5,138 +5,30 @@
 and are replaced without their knowledge.
 """
 
-import copy
-import dataclasses
 import itertools
 
 import testtools
 from hypothesis import strategies as st
-from hypothesis.stateful import (
-    RuleBasedStateMachine,
-    initialize,
-    invariant,
-    rule,
-)
+from hypothesis.stateful import initialize, invariant, rule
 
 from tests import machine
-from wisterialug_core.decisions import (
-    placement,
-    resources,
-    task_order,
-    task_registry,
-)
-from wisterialug_core.decisions import shard as shard_lib
+from tests.test_core import scheduler_world
+from wisterialug_core.decisions import task_registry
 from wisterialug_core.schema import work_pb2
-from wisterialug_standins import worker_model
 
 # The second seed found a stop carried out by the wrong worker incarnation.
 SEEDS = (20261203, 8)
 EXAMPLES = 300
 STEPS = 50
-LEASE_S = 10.0
 MAX_FAULT_FREE_ROUNDS = 120
-CAPACITY = resources.Amount(4000, 8000, 1)
-WORKERS = ("w1", "w2", "w3")
-
-
-@dataclasses.dataclass
-class Table:
-    """The durable rows, with the conditions that the driver uses."""
-
-    epoch: int = 0
-    jobs: dict = dataclasses.field(default_factory=dict)
-    job_versions: dict = dataclasses.field(default_factory=dict)
-    chunks: dict = dataclasses.field(default_factory=dict)
-    finished: set = dataclasses.field(default_factory=set)
-    # Last commit of the current epoch; a retry of it succeeds.
-    last_commit: task_registry.Commit | None = None
-
-    def commit(self, epoch, seen_versions, commit):
-        if epoch != self.epoch:
-            return "not owner"
-        if commit is self.last_commit:
-            return "ok"
-        for job in commit.jobs_started():
-            if seen_versions[job] != self.job_versions[job]:
-                return "cancelled"
-        for chunk in commit.chunks:
-            self.chunks[chunk.job, chunk.number] = copy.deepcopy(chunk)
-        self.finished |= set(commit.finished)
-        self.last_commit = commit
-        return "ok"
-
-
-@dataclasses.dataclass
-class Owner:
-    scheduler: shard_lib.ShardScheduler
-    seen_versions: dict
-    pending_commit: task_registry.Commit | None = None
-    # The outstanding request to each worker.
-    syncs: dict = dataclasses.field(default_factory=dict)
-
-
-class ShardMachine(RuleBasedStateMachine):
-    def __init__(self):
-        super().__init__()
-        self.now = 100.0
-        self.table = Table()
-        self.incarnations = 0
-        self.models = {}
-        self.dead_models = []
-        self.listed = set(WORKERS)
-        for name in WORKERS:
-            self._start_worker(name)
-        self.owners = []
-        self.requests = []
-        self.answers = []
-        self.job_count = 0
-        self.attempts_at_cancel = {}
-        self._new_owner()
-
-    def _start_worker(self, name):
-        self.incarnations += 1
-        self.models[name] = worker_model.WorkerModel(
-            f"inc-{self.incarnations}", CAPACITY
-        )
-
-    def _new_owner(self):
-        self.table.epoch += 1
-        scheduler = shard_lib.ShardScheduler(
-            "s",
-            self.table.epoch,
-            "vm",
-            LEASE_S,
-            placement.make("best-fit"),
-            lambda group: task_order.Limits(),
-        )
-        owner = Owner(scheduler, {})
-        self.owners = [*self.owners[-1:], owner]
-        self._load(owner)
-        self._update_workers(owner)
-
-    def _load(self, owner):
-        for key, chunk in self.table.chunks.items():
-            if owner.scheduler.has_chunk(key) or key in self.table.finished:
-                continue
-            job = copy.deepcopy(self.table.jobs[key[0]])
-            owner.seen_versions[key[0]] = self.table.job_versions[key[0]]
-            owner.scheduler.load(job, copy.deepcopy(chunk))
-
-    def _update_workers(self, owner):
-        vms = [
-            work_pb2.Vm(id=name, resources=resources.to_message(CAPACITY))
-            for name in sorted(self.listed)
-        ]
-        owner.scheduler.set_workers(vms, set(), self.now)
 
-    def _owner(self, index):
-        return self.owners[index % len(self.owners)]
 
+class ShardMachine(scheduler_world.SchedulerWorld):
     @initialize(tasks=st.integers(1, 5), repeatable=st.booleans())
     def start_with_job(self, tasks, repeatable):
         self.submit(tasks, 2000, 4000, repeatable, False)
         for _ in range(2):
-            self.work_round(0, WORKERS)
+            self.work_round(0, scheduler_world.WORKERS)
 
     # Operators.
 
@@ -219,7 +111,9 @@
         else:
             self.poll(who)
 
-    @rule(who=st.integers(0, 1), worker=st.sampled_from(WORKERS))
+    @rule(
+        who=st.integers(0, 1), worker=st.sampled_from(scheduler_world.WORKERS)
+    )
     def begin_sync(self, who, worker):
         owner = self._owner(who)
         if worker not in owner.scheduler.worker_ids():
@@ -230,7 +124,9 @@
         owner.syncs[worker] = req
         self.requests.append((owner, worker, req))
 
-    @rule(who=st.integers(0, 1), worker=st.sampled_from(WORKERS))
+    @rule(
+        who=st.integers(0, 1), worker=st.sampled_from(scheduler_world.WORKERS)
+    )
     def expire_sync(self, who, worker):
         self._owner(who).syncs.pop(worker, None)
 
@@ -262,7 +158,9 @@
             del owner.syncs[worker]
             owner.scheduler.on_sync(worker, req, resp, self.now)
 
-    @rule(worker=st.sampled_from(WORKERS), who=st.integers(0, 1))
+    @rule(
+        worker=st.sampled_from(scheduler_world.WORKERS), who=st.integers(0, 1)
+    )
     def exchange(self, worker, who):
         """Runs a whole exchange without faults, so that tasks progress."""
         owner = self._owner(who)
@@ -277,7 +175,9 @@
 
     @rule(
         who=st.integers(0, 1),
-        reached=st.lists(st.sampled_from(WORKERS), min_size=1, unique=True),
+        reached=st.lists(
+            st.sampled_from(scheduler_world.WORKERS), min_size=1, unique=True
+        ),
     )
     def work_round(self, who, reached):
         """Runs one round of an owner that reaches some of the workers."""
@@ -289,7 +189,9 @@
 
     @rule(
         who=st.integers(0, 1),
-        reached=st.lists(st.sampled_from(WORKERS), min_size=1, unique=True),
+        reached=st.lists(
+            st.sampled_from(scheduler_world.WORKERS), min_size=1, unique=True
+        ),
         seconds=st.sampled_from([0.2, 1.0]),
         rounds=st.integers(2, 4),
     )
@@ -299,7 +201,10 @@
             self.work_round(who, reached)
             self.pass_time(seconds)
 
-    @rule(worker=st.sampled_from(WORKERS), seconds=st.sampled_from([0.2, 3.0]))
+    @rule(
+        worker=st.sampled_from(scheduler_world.WORKERS),
+        seconds=st.sampled_from([0.2, 3.0]),
+    )
     def old_owner_sends_late(self, worker, seconds):
         """Delivers a message of an owner after its shard was taken over."""
         owner = self.owners[-1]
@@ -309,12 +214,12 @@
         self.store_commit(1, "ok")
         req = owner.scheduler.sync_request(worker)
         self._new_owner()
-        self.work_rounds(1, WORKERS, seconds, 3)
+        self.work_rounds(1, scheduler_world.WORKERS, seconds, 3)
         model = self.models.get(worker)
         if model is not None:
             model.sync(req, self._clock())
 
-    @rule(worker=st.sampled_from(WORKERS))
+    @rule(worker=st.sampled_from(scheduler_world.WORKERS))
     def message_outlives_worker(self, worker):
         """Delivers a message for one incarnation of a worker to the next."""
         owner = self.owners[-1]
@@ -325,12 +230,12 @@
         req = owner.scheduler.sync_request(worker)
         self.kill_worker(worker)
         self.restart_worker(worker)
-        self.work_rounds(1, WORKERS, 0.2, 3)
+        self.work_rounds(1, scheduler_world.WORKERS, 0.2, 3)
         self.models[worker].sync(req, self._clock())
 
     def teardown(self):
         """Checks that every task ends once there are no more faults."""
-        for worker in WORKERS:
+        for worker in scheduler_world.WORKERS:
             self.restart_worker(worker)
             self.models[worker].fail = False
         self._new_owner()
@@ -338,7 +243,7 @@
             if self._all_final():
                 break
             self.read_vm_list()
-            self.work_round(1, WORKERS)
+            self.work_round(1, scheduler_world.WORKERS)
             self.pass_time(3.0)
             self.check_guarantees()
         assert self._all_final(), self.table.chunks
@@ -364,12 +269,12 @@
                 if model is not None:
                     model.advance(seconds * 50, self._clock())
 
-    @rule(worker=st.sampled_from(WORKERS), broken=st.booleans())
+    @rule(worker=st.sampled_from(scheduler_world.WORKERS), broken=st.booleans())
     def change_health(self, worker, broken):
         if self.models[worker] is not None:
             self.models[worker].fail = broken
 
-    @rule(worker=st.sampled_from(WORKERS))
+    @rule(worker=st.sampled_from(scheduler_world.WORKERS))
     def kill_worker(self, worker):
         if self.models[worker] is not None:
             for run in self.models[worker].running.values():
@@ -379,7 +284,7 @@
             self.dead_models.append(self.models[worker])
             self.models[worker] = None
 
-    @rule(worker=st.sampled_from(WORKERS))
+    @rule(worker=st.sampled_from(scheduler_world.WORKERS))
     def restart_worker(self, worker):
         if self.models[worker] is None:
             self._start_worker(worker)
--- a/tests/test_integration/base.py
+++ b/tests/test_integration/base.py
@@ -8,7 +8,7 @@
 import testtools
 import urllib3
 
-from wisterialug_standins import fleet, uuid7
+from wisterialug_standins import fleet, fleet_hosts, uuid7
 
 LIMITS = [
     ("siam", "customer", "siam", {"weight": "300"}),
@@ -37,7 +37,7 @@
 class IntegrationTest(testtools.TestCase):
     """Starts the processes of `spec`, which subclasses override."""
 
-    spec = fleet.FleetSpec(data_centres=1)
+    spec = fleet_hosts.FleetSpec(data_centres=1)
 
     def setUp(self):
         super().setUp()
--- a/tests/test_integration/test_edges.py
+++ b/tests/test_integration/test_edges.py
@@ -8,11 +8,11 @@
 import tempfile
 
 from tests.test_integration import base
-from wisterialug_standins import fleet, uuid7
+from wisterialug_standins import fleet_hosts, uuid7
 
 
 class EdgeTest(base.IntegrationTest):
-    spec = fleet.FleetSpec(
+    spec = fleet_hosts.FleetSpec(
         data_centres=1,
         entry_vms=1,
         workers=1,
@@ -77,7 +77,9 @@
             b"GET / HTTP/1.1\r\n" + b"X: " + b"a" * 70000 + b"\r\n\r\n",
         ]
         for case in cases:
-            with socket.create_connection((ip, fleet.CALLER_PORT)) as conn:
+            with socket.create_connection(
+                (ip, fleet_hosts.CALLER_PORT)
+            ) as conn:
                 conn.settimeout(5)
                 conn.sendall(case)
                 conn.shutdown(socket.SHUT_WR)
@@ -166,7 +168,7 @@
     def test_command_line_exit_codes(self):
         with tempfile.TemporaryDirectory() as name:
             folder = pathlib.Path(name)
-            (folder / "token").write_text(fleet.TOKEN)
+            (folder / "token").write_text(fleet_hosts.TOKEN)
             (folder / "wrong").write_text("wrong")
             (folder / "bad.csv").write_text("customer,kind,name\nsiam,x,a\n")
             sheet = "customer,kind,name,weight\nsiam,customer,siam,{}\n"
--- a/tests/test_integration/test_requests.py
+++ b/tests/test_integration/test_requests.py
@@ -4,13 +4,13 @@
 import threading
 
 from tests.test_integration import base
-from wisterialug_standins import fleet, uuid7
+from wisterialug_standins import fleet, fleet_hosts, uuid7
 
 FAULTS = ("cut-answer", "reset", "lose-answer", "black-hole")
 
 
 class UpstreamFaultTest(base.IntegrationTest):
-    spec = fleet.FleetSpec(data_centres=1, instance_proxies=True)
+    spec = fleet_hosts.FleetSpec(data_centres=1, instance_proxies=True)
 
     def test_outcomes_match_the_runs_under_each_fault(self):
         responses = []
@@ -50,7 +50,7 @@
 
 
 class EntryVmFaultTest(base.IntegrationTest):
-    spec = fleet.FleetSpec(data_centres=1, service_mean_s=0.05)
+    spec = fleet_hosts.FleetSpec(data_centres=1, service_mean_s=0.05)
 
     def test_killed_and_paused_entry_vms(self):
         responses = []
@@ -191,7 +191,7 @@
 
 
 class OtherDataCentreTest(base.IntegrationTest):
-    spec = fleet.FleetSpec(data_centres=2, entry_vms=2)
+    spec = fleet_hosts.FleetSpec(data_centres=2, entry_vms=2)
 
     def test_requests_are_forwarded_to_remaining_instances(self):
         for name in list(self.fleet.vms):
--- a/tests/test_integration/test_shared_state.py
+++ b/tests/test_integration/test_shared_state.py
@@ -4,13 +4,13 @@
 import signal
 
 from tests.test_integration import base
-from wisterialug_standins import fleet
+from wisterialug_standins import fleet, fleet_hosts
 
 KEY = "limit/siam/customer/siam"
 
 
 class SharedStateTest(base.IntegrationTest):
-    spec = fleet.FleetSpec(
+    spec = fleet_hosts.FleetSpec(
         workers=0, instances=1, entry_vms=3, data_centres=3, proxies=True
     )
 
--- a/tests/test_integration/test_tasks.py
+++ b/tests/test_integration/test_tasks.py
@@ -4,11 +4,11 @@
 import signal
 
 from tests.test_integration import base
-from wisterialug_standins import fleet
+from wisterialug_standins import fleet, fleet_hosts
 
 
 class TaskTest(base.IntegrationTest):
-    spec = fleet.FleetSpec(
+    spec = fleet_hosts.FleetSpec(
         data_centres=1,
         instances=0,
         settings=("--session-lease-s=3", "--task-lease-s=6"),
