Orders without an answer leave a line

A start order without an answer and the acknowledgement of a stop left no line, and run-ended did not tell whether an order for the run was still open.

Change: start-unanswered, stop-acknowledged; the field unanswered in start-rejected and run-ended. What is decided is unchanged; lines of one event are bounded as before.

--- a/packages/wisterialug-core/src/wisterialug_core/workflow/job_table.py
+++ b/packages/wisterialug-core/src/wisterialug_core/workflow/job_table.py
@@ -132,6 +132,7 @@
         task.worker = worker
         task.phase = model.Phase.STARTING
         task.phase_since_s = now_s
+        task.unanswered_starts = 0
         task.progress = 0
         task.stalled_since_s = 0.0
         task.borrowed_s = 0.0
--- a/packages/wisterialug-core/src/wisterialug_core/workflow/model.py
+++ b/packages/wisterialug-core/src/wisterialug_core/workflow/model.py
@@ -114,6 +114,8 @@
     # Of the active run only.
     phase: Phase = Phase.STARTING
     phase_since_s: float = 0.0
+    # Start orders without a response; each may still take effect.
+    unanswered_starts: int = 0
     # Percent done of its work, or of a long-running task's startup.
     progress: int = 0
     # Earliest time of the next start; set after failures.
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/dispatcher.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/dispatcher.py
@@ -129,12 +129,27 @@
             if not isinstance(exc, errors.NoAnswerError):
                 self._handle_rejection(start, exc, retried=attempt > 0)
                 return
+            self._note_unanswered(start, exc)
             eventlet.sleep(RETRY_INTERVAL_S)
         if self._owner.lost or task.run != start.run or not task.active:
             return
         # The start may still take effect; an acknowledged stop prevents it.
         self.stop(task, "no response to start")
 
+    def _note_unanswered(
+        self, start: step_placement.Placement, exc: errors.WorkerError
+    ) -> None:
+        task = start.task
+        if task.run == start.run:
+            task.unanswered_starts += 1
+        logs.event(
+            "start-unanswered",
+            task=task.name,
+            run=start.run,
+            worker=start.worker.report.id,
+            error=str(exc),
+        )
+
     def _handle_started(
         self, start: step_placement.Placement, reply: worker_calls.Reply
     ) -> None:
@@ -173,6 +188,7 @@
             run=start.run,
             worker=worker.report.id,
             error=str(exc),
+            unanswered=start.task.unanswered_starts,
         )
         if isinstance(exc, errors.OtherLifeError):
             self._owner.session(worker).note_restart()
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/owner.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/owner.py
@@ -316,6 +316,7 @@
                 worker=worker_id,
                 end=end.value,
                 failures=task.failures,
+                unanswered=task.unanswered_starts,
                 why=why,
             )
         entry = self.shard_jobs.jobs[task.key.job]
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/worker_session.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/worker_session.py
@@ -79,6 +79,12 @@
         self, task: model.Task, run: int, reply: worker_calls.Reply
     ) -> None:
         """Notes that the worker has acknowledged a stop."""
+        logs.event(
+            "stop-acknowledged",
+            task=task.name,
+            run=run,
+            worker=self.worker.report.id,
+        )
         self._stop_acked_s[(task.key, run)] = reply.received_s
         self.ensure_running()
 
