A task runs twice if its repeated start is turned away (failing tests)

Tests: emulated workers get faults of single calls (late, lost, unanswered, repeated, refused, no room) in place of late orders only. The emulated registry of workers is a module of its own.

--- /dev/null
+++ b/packages/wisterialug-standins/src/wisterialug_standins/emulated_registry.py
@@ -0,0 +1,94 @@
+"""In-memory registry of emulated workers."""
+
+from __future__ import annotations
+
+import dataclasses
+from typing import TYPE_CHECKING
+
+import eventlet
+import result
+
+from wisterialug_core.decisions import resources
+from wisterialug_core.workflow import model
+from wisterialug_daemon.workflow import clock, sources
+from wisterialug_standins import emulated_worker
+
+if TYPE_CHECKING:
+    from wisterialug_daemon.workflow import errors
+
+TICK_S = 0.01
+LATENCY_S = 0.002
+
+
+class EmulatedRegistry(sources.WorkerRegistry):
+    """Adds, drains and crashes workers, and lists them.
+
+    Attributes:
+      workers: Workers that exist, by id.
+      reports: Reports of all workers at registration, including removed ones.
+    """
+
+    def __init__(self) -> None:
+        self.workers: dict[str, emulated_worker.EmulatedWorker] = {}
+        self.reports: dict[str, model.WorkerReport] = {}
+        self._list_version = 0
+
+    def add(
+        self,
+        name: str,
+        cpu_millicores: int = 16_000,
+        rack: str = "r1",
+        data_centre: str = "dc1",
+    ) -> emulated_worker.EmulatedWorker:
+        """Registers a worker."""
+        worker = emulated_worker.EmulatedWorker(
+            model.WorkerReport(
+                id=model.WorkerId(name),
+                address=f"{name}:1",
+                service="app",
+                data_centre=data_centre,
+                state=model.WorkerState.READY,
+                capacity=resources.Amount(cpu_millicores, 64_000, 0),
+                labels=("a", rack),
+                remaining_ms=0,
+            )
+        )
+        self.workers[name] = worker
+        self.reports[name] = worker.report
+        self._list_version += 1
+        return worker
+
+    def drain(self, name: str) -> None:
+        """Marks a worker as draining."""
+        worker = self.workers[name]
+        worker.report = dataclasses.replace(
+            worker.report, state=model.WorkerState.DRAINING
+        )
+        self._list_version += 1
+
+    def crash(self, name: str) -> None:
+        """Removes a worker and loses its runs without a report."""
+        worker = self.workers.pop(name)
+        worker.unreachable = True
+        for record in worker.running.values():
+            record.ended_s = clock.now_s()
+            record.end = model.RunEnd.LOST
+        worker.running.clear()
+        self._list_version += 1
+
+    def read(self) -> result.Result[sources.WorkerChanges, errors.StoreError]:
+        """Reads the whole list."""
+        eventlet.sleep(LATENCY_S)
+        reports = tuple(w.report for w in self.workers.values())
+        return result.Ok(
+            sources.WorkerChanges(reports, (), True, self._list_version)
+        )
+
+    def watch(
+        self, cursor: int, wait_s: float
+    ) -> result.Result[sources.WorkerChanges, errors.StoreError]:
+        """Waits for changes, and then reads the whole list."""
+        until_s = clock.now_s() + wait_s
+        while cursor == self._list_version and clock.now_s() < until_s:
+            eventlet.sleep(TICK_S)
+        return self.read()
--- a/packages/wisterialug-standins/src/wisterialug_standins/emulated_worker.py
+++ b/packages/wisterialug-standins/src/wisterialug_standins/emulated_worker.py
@@ -8,6 +8,7 @@
 if TYPE_CHECKING:
     from wisterialug_core.workflow import model
     from wisterialug_daemon.workflow import worker_calls
+    from wisterialug_standins import order_faults
 
 
 @dataclasses.dataclass
@@ -36,7 +37,7 @@
     Attributes:
       unreachable: Receives no calls.
       drops_replies: Carries out calls without replying.
-      late_order_rate: Fraction of orders carried out late without a reply.
+      fault_rates: Fraction of calls with each fault.
       fails_all: All runs fail immediately.
       hangs: Runs make no progress.
     """
@@ -44,7 +45,9 @@
     report: model.WorkerReport
     unreachable: bool = False
     drops_replies: bool = False
-    late_order_rate: float = 0.0
+    fault_rates: dict[order_faults.OrderFault, float] = dataclasses.field(
+        default_factory=dict
+    )
     fails_all: bool = False
     hangs: bool = False
     fence: int = 0
--- a/packages/wisterialug-standins/src/wisterialug_standins/emulated_workers.py
+++ b/packages/wisterialug-standins/src/wisterialug_standins/emulated_workers.py
@@ -2,35 +2,36 @@
 
 from __future__ import annotations
 
-import dataclasses
+import collections
 from typing import TYPE_CHECKING
 
 import eventlet
 import result
 
-from wisterialug_core.decisions import resources
 from wisterialug_core.workflow import model
 from wisterialug_daemon.workflow import (
     clock,
     errors,
-    sources,
     worker_calls,
 )
-from wisterialug_standins import emulated_worker
+from wisterialug_standins import (
+    emulated_registry,
+    emulated_worker,
+    order_faults,
+)
 
 if TYPE_CHECKING:
     import random
     from collections.abc import Callable
 
-TICK_S = 0.01
-LATENCY_S = 0.002
 MAX_LEASE_MS = 10_000
-# Of orders that arrive late.
-MIN_ORDER_DELAY_S = 0.5
-MAX_ORDER_DELAY_S = 3.0
+# Range of the delay of orders that arrive late.
+ORDER_DELAY_S = (0.5, 3.0)
 
 
-class EmulatedFleet(worker_calls.WorkerCalls, sources.WorkerRegistry):
+class EmulatedFleet(
+    emulated_registry.EmulatedRegistry, worker_calls.WorkerCalls
+):
     """Emulates workers and their registry; `duration_s` returns run times.
 
     Attributes:
@@ -43,84 +44,24 @@
         duration_s: Callable[[str], float],
         fails: Callable[[str], bool] = lambda _: False,
     ) -> None:
-        self.workers: dict[str, emulated_worker.EmulatedWorker] = {}
-        # Reports of all workers at registration, including removed ones.
-        self.reports: dict[str, model.WorkerReport] = {}
-        # If set, the next start is refused with UnwellError.
-        self.refuse_next_start: str | None = None
+        super().__init__()
+        # Faults of the next starts, before those that are drawn.
+        self.next_start_faults: collections.deque[order_faults.OrderFault] = (
+            collections.deque()
+        )
+        self.order_delay_s = ORDER_DELAY_S
         # Returns the number of members of a task's gang; 0 without a gang.
         self.gang_size: Callable[[str], int] = lambda _: 0
         self.history: list[emulated_worker.RunRecord] = []
         self._rng = rng
         self._duration_s = duration_s
         self._fails = fails
-        self._list_version = 0
         self._thread = eventlet.spawn(self._tick)
 
     def close(self) -> None:
         """Stops all runs."""
         self._thread.kill()
 
-    def add(
-        self,
-        name: str,
-        cpu_millicores: int = 16_000,
-        rack: str = "r1",
-        data_centre: str = "dc1",
-    ) -> emulated_worker.EmulatedWorker:
-        """Registers a worker."""
-        worker = emulated_worker.EmulatedWorker(
-            model.WorkerReport(
-                id=model.WorkerId(name),
-                address=f"{name}:1",
-                service="app",
-                data_centre=data_centre,
-                state=model.WorkerState.READY,
-                capacity=resources.Amount(cpu_millicores, 64_000, 0),
-                labels=("a", rack),
-                remaining_ms=0,
-            )
-        )
-        self.workers[name] = worker
-        self.reports[name] = worker.report
-        self._list_version += 1
-        return worker
-
-    def drain(self, name: str) -> None:
-        """Marks a worker as draining."""
-        worker = self.workers[name]
-        worker.report = dataclasses.replace(
-            worker.report, state=model.WorkerState.DRAINING
-        )
-        self._list_version += 1
-
-    def crash(self, name: str) -> None:
-        """Removes a worker and loses its runs without a report."""
-        worker = self.workers.pop(name)
-        worker.unreachable = True
-        for record in worker.running.values():
-            record.ended_s = clock.now_s()
-            record.end = model.RunEnd.LOST
-        worker.running.clear()
-        self._list_version += 1
-
-    def read(self) -> result.Result[sources.WorkerChanges, errors.StoreError]:
-        """Reads the whole list."""
-        eventlet.sleep(LATENCY_S)
-        reports = tuple(w.report for w in self.workers.values())
-        return result.Ok(
-            sources.WorkerChanges(reports, (), True, self._list_version)
-        )
-
-    def watch(
-        self, cursor: int, wait_s: float
-    ) -> result.Result[sources.WorkerChanges, errors.StoreError]:
-        """Waits for changes, and then reads the whole list."""
-        until_s = clock.now_s() + wait_s
-        while cursor == self._list_version and clock.now_s() < until_s:
-            eventlet.sleep(TICK_S)
-        return self.read()
-
     def start(
         self,
         worker: model.WorkerReport,
@@ -128,11 +69,12 @@
         timeout_s: float,
     ) -> result.Result[worker_calls.Reply, errors.WorkerError]:
         """Starts a run."""
-        if self.refuse_next_start is not None:
-            self.refuse_next_start = None
-            return result.Err(errors.UnwellError())
+        faults = self.next_start_faults
         return self._deliver(
-            worker, timeout_s, lambda target: self._start_run(target, order)
+            worker,
+            timeout_s,
+            lambda target: self._start_run(target, order),
+            faults.popleft() if faults else None,
         )
 
     def stop(
@@ -204,7 +146,7 @@
         target = self.workers.get(worker.id)
         until_s = sent_s + wait_ms / 1000
         while target and not target.ended and clock.now_s() < until_s:
-            eventlet.sleep(TICK_S)
+            eventlet.sleep(emulated_registry.TICK_S)
         if target is None or target.unreachable or target.drops_replies:
             return result.Err(errors.NoAnswerError("unreachable"))
         return result.Ok(
@@ -237,22 +179,38 @@
         carry_out: Callable[
             [emulated_worker.EmulatedWorker], errors.WorkerError | None
         ],
+        fault: order_faults.OrderFault | None = None,
     ) -> result.Result[worker_calls.Reply, errors.WorkerError]:
+        """Delivers a call with a fault, drawn by the worker's rates if None."""
         sent_s = clock.now_s()
-        eventlet.sleep(LATENCY_S)
+        eventlet.sleep(emulated_registry.LATENCY_S)
         target = self.workers.get(worker.id)
         if target is None or target.unreachable:
             eventlet.sleep(timeout_s)
             return result.Err(errors.NoAnswerError("unreachable"))
-        if self._rng.random() < target.late_order_rate:
-            delay_s = self._rng.uniform(MIN_ORDER_DELAY_S, MAX_ORDER_DELAY_S)
+        fault = fault or order_faults.draw(target.fault_rates, self._rng)
+        if fault is order_faults.OrderFault.REFUSED:
+            return result.Err(errors.UnwellError())
+        if fault is order_faults.OrderFault.NO_ROOM:
+            return result.Err(errors.RejectedError(errors.Rejection.NO_ROOM))
+        if fault in {
+            order_faults.OrderFault.LATE,
+            order_faults.OrderFault.REPEATED,
+        }:
+            delay_s = self._rng.uniform(*self.order_delay_s)
             eventlet.spawn_after(delay_s, self._arrive_late, target, carry_out)
+        error = None
+        if fault not in {
+            order_faults.OrderFault.LATE,
+            order_faults.OrderFault.LOST,
+        }:
+            error = carry_out(target)
+        unanswered = fault is not None and (
+            fault is not order_faults.OrderFault.REPEATED
+        )
+        if unanswered or target.drops_replies:
             eventlet.sleep(timeout_s)
-            return result.Err(errors.NoAnswerError("order delayed"))
-        error = carry_out(target)
-        if target.drops_replies:
-            eventlet.sleep(timeout_s)
-            return result.Err(errors.NoAnswerError("reply dropped"))
+            return result.Err(errors.NoAnswerError(fault and fault.value))
         if error is not None:
             return result.Err(error)
         return result.Ok(worker_calls.Reply(_clock_ms(), sent_s, clock.now_s()))
@@ -371,7 +329,7 @@
 
     def _tick(self) -> None:
         while True:
-            eventlet.sleep(TICK_S)
+            eventlet.sleep(emulated_registry.TICK_S)
             for worker in list(self.workers.values()):
                 self._tick_worker(worker)
 
--- a/tests/test_daemon/test_workflow_mixed.py
+++ b/tests/test_daemon/test_workflow_mixed.py
@@ -6,6 +6,7 @@
 
 from tests.test_daemon import workflow_base
 from wisterialug_core.schema import workflow_pb2
+from wisterialug_standins import order_faults
 
 step = workflow_base.step
 
@@ -79,7 +80,8 @@
             if fault == "silent":
                 self.fleet.workers[name].unreachable = True
             elif fault == "late":
-                self.fleet.workers[name].late_order_rate = 0.5
+                rates = {order_faults.OrderFault.LATE: 0.5}
+                self.fleet.workers[name].fault_rates = rates
             elif fault == "crash":
                 self.fleet.crash(name)
             elif fault == "drain":
--- /dev/null
+++ b/tests/test_daemon/test_workflow_orders.py
@@ -0,0 +1,37 @@
+"""Orders to workers that are late, lost, repeated or refused."""
+
+import eventlet
+
+from tests.test_daemon import workflow_base
+from wisterialug_core.schema import workflow_pb2
+from wisterialug_standins import order_faults
+
+step = workflow_base.step
+Fault = order_faults.OrderFault
+
+
+class UnansweredStartTest(workflow_base.WorkflowTest):
+    """A start without an answer is carried out after newer calls."""
+
+    # A run of the next attempt is still active when the first one begins.
+    duration_s = 2.0
+    ORDER_DELAY_S = 2.5
+
+    def run_with_faults(self, *faults):
+        """Starts a task with these faults; its next run is on another worker."""
+        self.start_nodes(2, workers=1)
+        self.fleet.order_delay_s = (self.ORDER_DELAY_S, self.ORDER_DELAY_S)
+        self.fleet.next_start_faults.extend(faults)
+        job = self.submit(step(1))
+        self.wait_for(lambda: not self.fleet.next_start_faults, 5)
+        self.fleet.drain("w0")
+        self.fleet.add("w1")
+        self.wait_for_state(job, workflow_pb2.JOB_COMPLETED)
+        eventlet.sleep(self.ORDER_DELAY_S)
+        self.check_invariants()
+
+    def test_task_runs_twice_if_the_repeated_start_is_refused(self):
+        self.run_with_faults(Fault.LATE, Fault.REFUSED)
+
+    def test_task_runs_twice_if_the_repeated_start_finds_no_room(self):
+        self.run_with_faults(Fault.LATE, Fault.NO_ROOM)
--- a/tests/test_daemon/test_workflow_scheduler.py
+++ b/tests/test_daemon/test_workflow_scheduler.py
@@ -6,6 +6,7 @@
 from wisterialug_core.schema import workflow_pb2
 from wisterialug_core.workflow import model
 from wisterialug_daemon.workflow import clock, intake
+from wisterialug_standins import order_faults
 
 step = workflow_base.step
 
@@ -68,9 +69,9 @@
     def test_gang_of_which_one_member_is_refused_starts_again_as_a_whole(self):
         self.duration_s = 0.5
         self.start_nodes(workers=2)
-        self.fleet.refuse_next_start = "unwell"
+        self.fleet.next_start_faults.append(order_faults.OrderFault.REFUSED)
         job = self.submit(step(6, gang=True))
-        self.wait_for(lambda: self.fleet.refuse_next_start is None, 5)
+        self.wait_for(lambda: not self.fleet.next_start_faults, 5)
         refused_s = clock.now_s()
         self.wait_for(
             lambda: (
@@ -239,12 +240,12 @@
 
     def test_orders_are_executed_late(self):
         self.start_nodes(2)
-        self.fleet.workers["w0"].late_order_rate = 0.4
-        self.fleet.workers["w1"].late_order_rate = 0.4
+        for name in ("w0", "w1"):
+            worker = self.fleet.workers[name]
+            worker.fault_rates = {order_faults.OrderFault.LATE: 0.4}
         jobs = self.submit_jobs()
         eventlet.sleep(3)
-        self.fleet.workers["w0"].late_order_rate = 0.0
-        self.fleet.workers["w1"].late_order_rate = 0.0
+        self.clear_faults()
         self.check_completion(jobs)
 
     def test_worker_that_fails_all_tasks_is_set_aside(self):
@@ -303,7 +304,7 @@
         if fault == "silent":
             worker.unreachable = True
         elif fault == "late":
-            worker.late_order_rate = 0.5
+            worker.fault_rates = {order_faults.OrderFault.LATE: 0.5}
         else:
             self.inject_control_fault(fault, number)
 
--- a/tests/test_daemon/workflow_base.py
+++ b/tests/test_daemon/workflow_base.py
@@ -201,7 +201,7 @@
         self.store.down = False
         for worker in self.fleet.workers.values():
             worker.unreachable = False
-            worker.late_order_rate = 0.0
+            worker.fault_rates = {}
 
     def check_invariants(self):
         self.assertEqual(
--- a/tests/test_standins/test_emulated_workers.py
+++ b/tests/test_standins/test_emulated_workers.py
@@ -7,7 +7,7 @@
 
 from wisterialug_core.workflow import model
 from wisterialug_daemon.workflow import clock, worker_calls
-from wisterialug_standins import emulated_workers
+from wisterialug_standins import emulated_workers, order_faults
 
 LEASE_MS = 5000
 TIMEOUT_S = 1.0
@@ -61,10 +61,10 @@
         fleet = emulated_workers.EmulatedFleet(random.Random(1), lambda _: 1.0)
         self.addCleanup(fleet.close)
         worker = fleet.add("w0")
-        worker.late_order_rate = 1.0
+        worker.fault_rates = {order_faults.OrderFault.LATE: 1.0}
         deadline_ms = int(clock.now_s() * 1000) + LEASE_MS
         order = worker_calls.StartOrder("j.0.0.0", 1, "x", "", deadline_ms, 1)
         fleet.start(worker.report, order, 0.01)
         fleet.crash("w0")
-        eventlet.sleep(emulated_workers.MAX_ORDER_DELAY_S + 0.1)
+        eventlet.sleep(emulated_workers.ORDER_DELAY_S[1] + 0.1)
         self.assertEqual([], fleet.history)
