A run is given up only when no order for it can take effect

A start order got no answer and was repeated; the repetition was turned away (503, 429 or no room), the run was ended as not executed, and the first order was carried out 1.2 to 3.3 s later, beside the task's next run or after it.

Cause: the answer to one order was taken for the outcome of the run. Where the repetition found no room, the run was even taken as running, and the next report ended it; the same answer was applied whatever run the task had by then.

Change: each run keeps what is known of its start orders (run_proofs.StartOrders): orders without an answer, the first sign that the worker knows the run, the acknowledged stop. A run ends only with a proof (run_proofs.Proof), which end_run asks for and run-ended logs. While an order is open, a rejection leads to a stop; the run ends when the worker lists its end, or acknowledges the stop and a later report does not list the run. A run that a report has shown is no longer stopped because its start had no answer. The backoff of invalid orders is no longer overwritten by the shorter one.

--- a/packages/wisterialug-core/src/wisterialug_core/workflow/job_table.py
+++ b/packages/wisterialug-core/src/wisterialug_core/workflow/job_table.py
@@ -4,7 +4,7 @@
 
 from wisterialug_core.decisions import resources
 from wisterialug_core.schema import workflow_pb2
-from wisterialug_core.workflow import job_entry, model
+from wisterialug_core.workflow import job_entry, model, run_proofs
 
 # Dropped job ids that are kept; their rows may be read for some more seconds.
 MAX_DROPPED = 10_000
@@ -96,6 +96,7 @@
             elif record.worker:
                 task.worker = record.worker
                 task.phase = model.Phase.ADOPTED
+                task.orders = run_proofs.StartOrders(earlier_epoch=True)
                 entry.active += 1
                 active.append(task)
         if entry.final and not active:
@@ -132,7 +133,7 @@
         task.worker = worker
         task.phase = model.Phase.STARTING
         task.phase_since_s = now_s
-        task.unanswered_starts = 0
+        task.orders = run_proofs.StartOrders()
         task.progress = 0
         task.stalled_since_s = 0.0
         task.borrowed_s = 0.0
--- a/packages/wisterialug-core/src/wisterialug_core/workflow/model.py
+++ b/packages/wisterialug-core/src/wisterialug_core/workflow/model.py
@@ -6,6 +6,8 @@
 import enum
 from typing import TYPE_CHECKING, NamedTuple, NewType
 
+from wisterialug_core.workflow import run_proofs
+
 if TYPE_CHECKING:
     from wisterialug_core.decisions import resources
 
@@ -114,8 +116,9 @@
     # Of the active run only.
     phase: Phase = Phase.STARTING
     phase_since_s: float = 0.0
-    # Start orders without a response; each may still take effect.
-    unanswered_starts: int = 0
+    orders: run_proofs.StartOrders = dataclasses.field(
+        default_factory=run_proofs.StartOrders
+    )
     # Percent done of its work, or of a long-running task's startup.
     progress: int = 0
     # Earliest time of the next start; set after failures.
@@ -133,6 +136,10 @@
         """Returns whether a run of the task may be under way."""
         return bool(self.worker)
 
+    def is_active_on(self, worker: str, run: int) -> bool:
+        """Returns whether a run is the active one, on this worker."""
+        return self.worker == worker and self.run == run
+
     @property
     def pending(self) -> bool:
         """Returns whether this shard is to start a run of the task."""
--- /dev/null
+++ b/packages/wisterialug-core/src/wisterialug_core/workflow/run_proofs.py
@@ -0,0 +1,70 @@
+"""Facts that rule out that a run is active or may still begin.
+
+A call without a response may be carried out seconds later, after newer calls.
+A task starts again only after such a fact about its earlier run.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import enum
+
+
+class Proof(enum.Enum):
+    """Why no order for a run can take effect any more."""
+
+    # The worker lists the end; it rejects later starts of the run.
+    REPORTED = "reported"
+    # No start was sent, or the worker has rejected each one.
+    NO_OPEN_START = "not started"
+    # The worker rejects starts of a run that it was told to stop.
+    STOP_ACKNOWLEDGED = "stopped before it began"
+    # The worker knew the run, and a later report does not list it.
+    NO_LONGER_LISTED = "not in the report"
+    # The worker has answered under a higher epoch without listing the run.
+    EARLIER_EPOCH = "not in the report of a new owner"
+    # Another incarnation answers; orders name the one that they are for.
+    RESTARTED = "worker has restarted"
+    # The worker's clock has passed the deadlines of all orders and leases.
+    LEASE_EXPIRED = "lease expired"
+
+
+@dataclasses.dataclass(slots=True)
+class StartOrders:
+    """What is known of the start orders of one run.
+
+    Times are of the owner's monotonic clock; 0 stands for never.
+
+    Attributes:
+      open: Orders that were sent and have no response; each may still be
+        carried out.
+      confirmed_s: When a response first showed that the worker knows the run.
+      stop_acked_s: When the worker acknowledged a stop.
+      earlier_epoch: An earlier owner sent the orders.
+    """
+
+    open: int = 0
+    confirmed_s: float = 0.0
+    stop_acked_s: float = 0.0
+    earlier_epoch: bool = False
+
+    def confirm(self, received_s: float) -> None:
+        """Records a response which shows that the worker knows the run."""
+        self.confirmed_s = self.confirmed_s or received_s
+
+    def absence(self, sent_s: float) -> Proof | None:
+        """Returns what an absent run's absence from a report proves.
+
+        Args:
+          sent_s: When the report was asked for.
+
+        Returns:
+          The proof, or None if the run may still begin.
+        """
+        if 0 < self.confirmed_s < sent_s:
+            return Proof.NO_LONGER_LISTED
+        if self.earlier_epoch:
+            return Proof.EARLIER_EPOCH
+        if 0 < self.stop_acked_s < sent_s:
+            return Proof.STOP_ACKNOWLEDGED
+        return None
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/dispatcher.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/dispatcher.py
@@ -6,7 +6,7 @@
 
 import eventlet
 
-from wisterialug_core.workflow import model, preemption
+from wisterialug_core.workflow import model, preemption, run_proofs
 from wisterialug_daemon import logs
 from wisterialug_daemon.workflow import clock, errors, worker_calls
 
@@ -67,16 +67,15 @@
     def stop(self, task: model.Task, why: str) -> None:
         """Stops a task's active run; its end arrives in a report."""
         order = (task.key, task.run)
-        if order in self._stopping:
+        worker = self._owner.shard_workers.workers.get(task.worker)
+        if order in self._stopping or worker is None:
             return
         if task.phase in {model.Phase.ADOPTED, model.Phase.STOPPING}:
             # Only a report shows whether an adopted run exists.
             return
         self._stopping.add(order)
         task.phase = model.Phase.STOPPING
-        worker = self._owner.shard_workers.workers.get(task.worker)
-        if worker is not None:
-            self._owner.greenlets.spawn(self._stop, worker, task, task.run, why)
+        self._owner.greenlets.spawn(self._stop, worker, task, task.run, why)
 
     def _must_move(self, task: model.Task, job: workflow_pb2.Job) -> bool:
         worker = self._owner.shard_workers.workers.get(task.worker)
@@ -88,107 +87,117 @@
             return False
         return job.steps[task.key.step].long_running
 
-    def _is_current(self, start: step_placement.Placement) -> bool:
+    def _is_starting(self, start: step_placement.Placement) -> bool:
+        """Returns whether the run is active and not known to have begun."""
         task = start.task
         return (
             not self._owner.lost
-            and task.worker == start.worker.report.id
-            and task.run == start.run
+            and task.is_active_on(start.worker.report.id, start.run)
             and task.phase is model.Phase.STARTING
-            and not self._owner.shard_jobs.jobs[task.key.job].final
         )
 
     def _start(self, start: step_placement.Placement) -> None:
         task, worker = start.task, start.worker
-        job = self._owner.shard_jobs.jobs[task.key.job].job
-        for attempt in range(MAX_START_ATTEMPTS):
+        for _ in range(MAX_START_ATTEMPTS):
+            if not self._is_starting(start):
+                return
+            entry = self._owner.shard_jobs.jobs[task.key.job]
             deadline_ms = (
                 worker.lease.grant(clock.now_s(), self._owner.cfg.lease_ms)
                 if self._owner.may_extend_leases()
                 else None
             )
-            if not self._is_current(start) or deadline_ms is None:
+            if entry.final or deadline_ms is None:
                 self._abandon(start, "no longer needed, or no lease")
                 return
             order = worker_calls.StartOrder(
                 task.name,
                 start.run,
-                job.spec,
+                entry.job.spec,
                 task.checkpoint,
                 deadline_ms,
                 self._owner.epoch,
             )
             self._owner.session(worker)
+            orders = task.orders
+            orders.open += 1
             outcome = self._owner.calls.start(
                 worker.report, order, ORDER_TIMEOUT_S
             )
             if outcome.is_ok():
+                orders.open -= 1
+                orders.confirm(outcome.ok_value.received_s)
                 self._handle_started(start, outcome.ok_value)
                 return
             exc = outcome.err_value
             if not isinstance(exc, errors.NoAnswerError):
-                self._handle_rejection(start, exc, retried=attempt > 0)
+                orders.open -= 1
+                self._handle_rejection(start, exc, orders)
                 return
-            self._note_unanswered(start, exc)
+            logs.event(
+                "start-unanswered",
+                task=task.name,
+                run=start.run,
+                worker=worker.report.id,
+                error=str(exc),
+            )
             eventlet.sleep(RETRY_INTERVAL_S)
-        if self._owner.lost or task.run != start.run or not task.active:
-            return
-        # The start may still take effect; an acknowledged stop prevents it.
-        self.stop(task, "no response to start")
-
-    def _note_unanswered(
-        self, start: step_placement.Placement, exc: errors.WorkerError
-    ) -> None:
-        task = start.task
-        if task.run == start.run:
-            task.unanswered_starts += 1
-        logs.event(
-            "start-unanswered",
-            task=task.name,
-            run=start.run,
-            worker=start.worker.report.id,
-            error=str(exc),
-        )
+        self._abandon(start, "no response to start")
 
     def _handle_started(
         self, start: step_placement.Placement, reply: worker_calls.Reply
     ) -> None:
         task = start.task
-        if task.run != start.run or task.phase is not model.Phase.STARTING:
+        if not self._is_starting(start):
             return
         task.phase = model.Phase.RUNNING
         task.phase_since_s = reply.received_s
         self._owner.shard_jobs.mark_running(task)
         self._owner.session(start.worker).pacing.run_started(task)
 
-    def _abandon(self, start: step_placement.Placement, why: str) -> None:
+    def _abandon(
+        self,
+        start: step_placement.Placement,
+        why: str,
+        backoff_s: float = REJECTED_BACKOFF_S,
+    ) -> None:
+        """Gives up a run that is not known to have begun.
+
+        A rejection holds for one order only: while another one is open, the
+        run ends once the worker has acknowledged a stop.
+
+        Args:
+          start: The placement of the run.
+          why: Why it is given up.
+          backoff_s: Time before the next start if the run ends at once.
+        """
         task = start.task
-        if (
-            self._owner.lost
-            or task.run != start.run
-            or task.worker != start.worker.report.id
-            or task.phase is not model.Phase.STARTING
-        ):
+        if not self._is_starting(start):
             return
-        task.not_before_s = clock.now_s() + REJECTED_BACKOFF_S
-        self._owner.end_run(task, model.RunEnd.LOST, "", why)
+        if task.orders.open:
+            self.stop(task, why)
+            return
+        task.not_before_s = clock.now_s() + backoff_s
+        self._owner.end_run(
+            task, model.RunEnd.LOST, "", run_proofs.Proof.NO_OPEN_START
+        )
 
     def _handle_rejection(
         self,
         start: step_placement.Placement,
         exc: errors.WorkerError,
-        *,
-        retried: bool,
+        orders: run_proofs.StartOrders,
     ) -> None:
         worker = start.worker
         now_s = clock.now_s()
+        backoff_s = REJECTED_BACKOFF_S
         logs.event(
             "start-rejected",
             task=start.task.name,
             run=start.run,
             worker=worker.report.id,
             error=str(exc),
-            unanswered=start.task.unanswered_starts,
+            unanswered=orders.open,
         )
         if isinstance(exc, errors.OtherLifeError):
             self._owner.session(worker).note_restart()
@@ -199,17 +208,16 @@
             if exc.reason is errors.Rejection.FENCED:
                 self._owner.lose("a worker has seen a higher epoch")
                 return
-            if exc.reason is errors.Rejection.OLD_RUN or retried:
-                # An earlier attempt may have succeeded; the next report shows.
-                start.task.phase = model.Phase.RUNNING
-                start.task.phase_since_s = now_s
+            if exc.reason is errors.Rejection.OLD_RUN:
+                # The run has ended there; the next report shows how.
+                orders.confirm(now_s)
                 self._owner.session(worker)
                 return
             if exc.reason is errors.Rejection.NO_ROOM:
                 worker.health.record_refusal(now_s)
             if exc.reason is errors.Rejection.INVALID:
-                start.task.not_before_s = now_s + INVALID_BACKOFF_S
-        self._abandon(start, str(exc))
+                backoff_s = INVALID_BACKOFF_S
+        self._abandon(start, str(exc), backoff_s)
 
     def _stop(
         self, worker: worker_table.Worker, task: model.Task, run: int, why: str
@@ -222,10 +230,8 @@
             why=why,
         )
         try:
-            while (
-                not self._owner.lost
-                and task.run == run
-                and task.worker == worker.report.id
+            while not self._owner.lost and task.is_active_on(
+                worker.report.id, run
             ):
                 outcome = self._owner.calls.stop(
                     worker.report,
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/owner.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/owner.py
@@ -37,6 +37,7 @@
     from collections.abc import Callable, Mapping
 
     from wisterialug_core.schema import workflow_pb2
+    from wisterialug_core.workflow import run_proofs
     from wisterialug_daemon.workflow import (
         layout_keeper,
         row_store,
@@ -274,7 +275,7 @@
         """Returns a task if this run of it is active on a worker."""
         key = model.parse_task_name(name)
         task = self.shard_jobs.task(key) if key else None
-        if task is None or task.run != run or task.worker != worker.report.id:
+        if task is None or not task.is_active_on(worker.report.id, run):
             return None
         return task
 
@@ -298,9 +299,16 @@
         task: model.Task,
         end: model.RunEnd,
         checkpoint: str,
-        why: str = "",
+        proof: run_proofs.Proof,
     ) -> None:
-        """Records the end of a task's active run."""
+        """Records the end of a task's active run.
+
+        Args:
+          task: The task; it may start again from now on.
+          end: How the run ended.
+          checkpoint: Where a next run can resume; empty if nothing is saved.
+          proof: Why no order for the run can take effect any more.
+        """
         worker_id = task.worker
         step = self.shard_jobs.step(task.key)
         self.shard_jobs.end(task, end, checkpoint, clock.wall_ms())
@@ -309,16 +317,7 @@
         if step.gang and end is not model.RunEnd.DONE:
             self._stop_gang(task)
         if end is not model.RunEnd.DONE:
-            logs.event(
-                "run-ended",
-                task=task.name,
-                run=task.run,
-                worker=worker_id,
-                end=end.value,
-                failures=task.failures,
-                unanswered=task.unanswered_starts,
-                why=why,
-            )
+            owner_logs.log_run_end(task, worker_id, end, proof)
         entry = self.shard_jobs.jobs[task.key.job]
         if entry.home and entry.final:
             if end in {model.RunEnd.DONE, model.RunEnd.FAILED}:
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/owner_logs.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/owner_logs.py
@@ -10,7 +10,12 @@
 from wisterialug_daemon.workflow import clock
 
 if TYPE_CHECKING:
-    from wisterialug_core.workflow import job_entry, job_table, step_placement
+    from wisterialug_core.workflow import (
+        job_entry,
+        job_table,
+        run_proofs,
+        step_placement,
+    )
 
 
 def log_job_end(entry: job_entry.JobEntry) -> None:
@@ -27,6 +32,25 @@
     )
 
 
+def log_run_end(
+    task: model.Task,
+    worker: str,
+    end: model.RunEnd,
+    proof: run_proofs.Proof,
+) -> None:
+    """Logs how a run on a worker ended, and what proves that it did."""
+    logs.event(
+        "run-ended",
+        task=task.name,
+        run=task.run,
+        worker=worker,
+        end=end.value,
+        failures=task.failures,
+        unanswered=task.orders.open,
+        why=proof.value,
+    )
+
+
 def log_placed(
     jobs: job_table.JobTable,
     placements: list[step_placement.Placement],
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/worker_session.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/worker_session.py
@@ -7,7 +7,7 @@
 import eventlet
 import eventlet.event
 
-from wisterialug_core.workflow import model
+from wisterialug_core.workflow import model, run_proofs
 from wisterialug_daemon import logs
 from wisterialug_daemon.workflow import (
     clock,
@@ -60,8 +60,6 @@
         self._all_committed = eventlet.event.Event()
         self.pacing = fill_pacing.FillPacing(owner, worker)
         self._restarted = False
-        # When stops were acknowledged, by run; the end follows in a report.
-        self._stop_acked_s: dict[tuple[model.TaskKey, int], float] = {}
 
     def ensure_running(self) -> None:
         """Starts the session if the worker needs one."""
@@ -73,19 +71,20 @@
         """Notes that the worker has restarted, which ended all its runs."""
         self.worker.gone = True
         self._restarted = True
-        self._mark_runs_lost("worker has restarted")
+        self._mark_runs_lost(run_proofs.Proof.RESTARTED)
 
     def note_stop_acked(
         self, task: model.Task, run: int, reply: worker_calls.Reply
     ) -> None:
-        """Notes that the worker has acknowledged a stop."""
+        """Notes a stop's acknowledgement; the end follows in a report."""
         logs.event(
             "stop-acknowledged",
             task=task.name,
             run=run,
             worker=self.worker.report.id,
         )
-        self._stop_acked_s[(task.key, run)] = reply.received_s
+        if task.is_active_on(self.worker.report.id, run):
+            task.orders.stop_acked_s = reply.received_s
         self.ensure_running()
 
     def begin_commit(self, jobs: Iterable[str]) -> None:
@@ -212,6 +211,7 @@
             if task is None:
                 self._owner.greenlets.spawn(self._stop_stray, run.task, run.run)
                 continue
+            task.orders.confirm(report.reply.received_s)
             if run.checkpoint:
                 task.checkpoint = run.checkpoint
             if task.phase in {model.Phase.STARTING, model.Phase.ADOPTED}:
@@ -266,8 +266,9 @@
             self._uncommitted[ended.seq] = task.key.job
             self._owner.shard_jobs.mark_running(task)
             self._record_health(ended, task, report.reply.received_s)
-            self._stop_acked_s.pop((task.key, ended.run), None)
-            self._owner.end_run(task, ended.end, ended.checkpoint, "reported")
+            self._owner.end_run(
+                task, ended.end, ended.checkpoint, run_proofs.Proof.REPORTED
+            )
 
     def _record_health(
         self, ended: worker_calls.EndedRun, task: model.Task, now_s: float
@@ -289,7 +290,7 @@
             )
 
     def _detect_lost(self, report: worker_calls.RunReport) -> None:
-        """Marks unlisted runs as lost once their absence is conclusive."""
+        """Marks unlisted runs as lost that certainly do not begin later."""
         if len(report.ended) >= MAX_LISTED_ENDS:
             return
         listed = {(run.task, run.run) for run in report.running}
@@ -297,20 +298,9 @@
             task = self._owner.shard_jobs.task(key)
             if task is None or (task.name, task.run) in listed:
                 continue
-            sent_s = report.reply.sent_s
-            if task.phase is model.Phase.ADOPTED:
-                # Orders of earlier epochs are rejected from now on.
-                conclusive = True
-            elif task.phase is model.Phase.RUNNING:
-                conclusive = task.phase_since_s < sent_s
-            else:
-                acked_s = self._stop_acked_s.get((key, task.run), sent_s)
-                conclusive = acked_s < sent_s
-            if conclusive:
-                self._stop_acked_s.pop((key, task.run), None)
-                self._owner.end_run(
-                    task, model.RunEnd.LOST, "", "not in the report"
-                )
+            proof = task.orders.absence(report.reply.sent_s)
+            if proof is not None:
+                self._owner.end_run(task, model.RunEnd.LOST, "", proof)
 
     def _handle_error(self, exc: errors.WorkerError, sent_s: float) -> None:
         worker = self.worker
@@ -341,10 +331,10 @@
             else self._owner.earlier_leases_expiry_s()
         )
         if now_s > expiry_s and self.worker.runs:
-            self._mark_runs_lost("lease expired")
+            self._mark_runs_lost(run_proofs.Proof.LEASE_EXPIRED)
 
-    def _mark_runs_lost(self, why: str) -> None:
+    def _mark_runs_lost(self, proof: run_proofs.Proof) -> None:
         for key in list(self.worker.runs):
             task = self._owner.shard_jobs.task(key)
             if task is not None and task.worker == self.worker.report.id:
-                self._owner.end_run(task, model.RunEnd.LOST, "", why)
+                self._owner.end_run(task, model.RunEnd.LOST, "", proof)
