An end is acknowledged only once it is durable, also after its worker was unlisted

Cause: a worker without runs was removed as soon as it dropped out of the list, with the session that knew which of its ends were not durable yet. When its entry came back, a new session took these ends for unknown ones and acknowledged them. If the owner was lost before the change was made, the next one found the run neither active nor ended.

Evidence: UncommittedEndTest (store away, the worker unlisted and listed again) failed: the end was acknowledged while the store was away.

Change: sessions of a shard are kept by worker_sessions.WorkerSessions, one for each incarnation; it removes a worker that is not listed only when it has no runs and all its ends are durable. An unlisted worker that does not answer is no longer called only to acknowledge ends.

--- a/packages/wisterialug-core/src/wisterialug_core/workflow/worker_table.py
+++ b/packages/wisterialug-core/src/wisterialug_core/workflow/worker_table.py
@@ -152,14 +152,23 @@
 
     def mark_absent(self, worker_id: str) -> None:
         """Marks a worker whose registry entry is gone."""
-        worker = self.workers.get(worker_id)
-        if worker is None:
-            return
+        worker = self.workers[worker_id]
         worker.report = dataclasses.replace(
             worker.report, state=model.WorkerState.ABSENT
         )
-        if not worker.runs:
-            del self.workers[worker_id]
+
+    def unused(self) -> list[Worker]:
+        """Returns the workers that are no longer listed and have no runs."""
+        return [
+            worker
+            for worker in self.workers.values()
+            if worker.report.state is model.WorkerState.ABSENT
+            and not worker.runs
+        ]
+
+    def remove(self, worker_id: str) -> None:
+        """Removes a worker without runs."""
+        del self.workers[worker_id]
 
     def reserve(self, task: model.Task, step: workflow_pb2.Step) -> None:
         """Reserves resources for a task's active run."""
@@ -194,9 +203,6 @@
                 job_table.reserved_amount(step)
             )
         worker.count_colocated(step, -1)
-        gone = worker.gone or worker.report.state is model.WorkerState.ABSENT
-        if gone and not worker.runs:
-            del self.workers[worker_id]
 
     def reserved_share(self) -> float:
         """Returns the reserved part of the ready workers' processors."""
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/owner.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/owner.py
@@ -30,7 +30,7 @@
     shard_recorder,
     shard_store,
     shared_effects,
-    worker_session,
+    worker_sessions,
 )
 
 if TYPE_CHECKING:
@@ -44,6 +44,7 @@
         settings,
         sources,
         worker_calls,
+        worker_session,
     )
 
 # Interval of ownership renewals; candidates take over after three missed ones.
@@ -92,7 +93,7 @@
         self.greenlets = pool.Greenlets()
         self.acquired_s = clock.now_s()
         self._feeds = shard_feeds.ShardFeeds(self, store, registry, keeper)
-        self._sessions: dict[str, worker_session.WorkerSession] = {}
+        self._sessions = worker_sessions.WorkerSessions(self)
         self._dispatcher = dispatcher.Dispatcher(self)
         self._lender = lender.Lender(
             rows.shard, self.shard_jobs, store, keeper, room_elsewhere
@@ -262,12 +263,7 @@
         self, worker: worker_table.Worker
     ) -> worker_session.WorkerSession:
         """Returns the worker's session, started if the worker needs one."""
-        session = self._sessions.get(worker.report.id)
-        if session is None or session.worker is not worker:
-            session = worker_session.WorkerSession(self, worker)
-            self._sessions[worker.report.id] = session
-        session.ensure_running()
-        return session
+        return self._sessions.get(worker)
 
     def active_run(
         self, worker: worker_table.Worker, name: str, run: int
@@ -358,20 +354,20 @@
         if self.shard_jobs.dirty or renewal_due:
             self._commit(renewal_due)
             eventlet.sleep(COMMIT_SPACING_S)
-        if renewal_due and self._is_partitioned(now_s):
-            self.give_up("most workers unreachable from this VM")
+        if renewal_due:
+            self._sessions.remove_unused()
+            if self._is_partitioned(now_s):
+                self.give_up("most workers unreachable from this VM")
 
     def _commit(self, renewal_due: bool) -> None:
         """Commits changes, then sends the starts that depend on them."""
         taken = self._recorder.take_jobs()
-        for session in self._sessions.values():
-            session.begin_commit(taken)
+        self._sessions.begin_commit(taken)
         outcome = self._recorder.commit(taken, renewal_due=renewal_due)
         if outcome.is_err():
             self.lose(str(outcome.err_value))
             return
-        for session in self._sessions.values():
-            session.finish_commit()
+        self._sessions.finish_commit()
         ready = [p for p in self._pending if p.task.key.job in taken]
         self._pending = [
             p for p in self._pending if p.task.key.job not in taken
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/worker_session.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/worker_session.py
@@ -59,7 +59,11 @@
         self._acked_seq = 0
         self._all_committed = eventlet.event.Event()
         self.pacing = fill_pacing.FillPacing(owner, worker)
-        self._restarted = False
+
+    @property
+    def idle(self) -> bool:
+        """Returns whether the worker is not polled and has no open end."""
+        return not self._running and not self._uncommitted
 
     def ensure_running(self) -> None:
         """Starts the session if the worker needs one."""
@@ -70,7 +74,6 @@
     def note_restart(self) -> None:
         """Notes that the worker has restarted, which ended all its runs."""
         self.worker.gone = True
-        self._restarted = True
         self._mark_runs_lost(run_proofs.Proof.RESTARTED)
 
     def note_stop_acked(
@@ -109,14 +112,13 @@
 
     def _needed(self) -> bool:
         worker = self.worker
+        absent = worker.report.state is model.WorkerState.ABSENT
+        unacked = self._acked_seq < self._highest_seq
         return not worker.gone and bool(
             worker.runs
             or self._uncommitted
-            or self._acked_seq < self._highest_seq
-            or (
-                (not worker.fenced or worker.silent_since_s)
-                and worker.report.state is not model.WorkerState.ABSENT
-            )
+            or (unacked and not (absent and worker.silent_since_s))
+            or ((not worker.fenced or worker.silent_since_s) and not absent)
         )
 
     def _run(self) -> None:
--- a/packages/wisterialug-standins/src/wisterialug_standins/emulated_registry.py
+++ b/packages/wisterialug-standins/src/wisterialug_standins/emulated_registry.py
@@ -66,6 +66,11 @@
         )
         self._list_version += 1
 
+    def set_listed(self, name: str, *, listed: bool) -> None:
+        """Removes the entry of a worker that lives on, or adds it again."""
+        self.workers[name].listed = listed
+        self._list_version += 1
+
     def crash(self, name: str) -> None:
         """Removes a worker and loses its runs without a report."""
         worker = self.workers.pop(name)
@@ -79,7 +84,7 @@
     def read(self) -> result.Result[sources.WorkerChanges, errors.StoreError]:
         """Reads the whole list."""
         eventlet.sleep(LATENCY_S)
-        reports = tuple(w.report for w in self.workers.values())
+        reports = tuple(w.report for w in self.workers.values() if w.listed)
         return result.Ok(
             sources.WorkerChanges(reports, (), True, self._list_version)
         )
--- a/packages/wisterialug-standins/src/wisterialug_standins/emulated_worker.py
+++ b/packages/wisterialug-standins/src/wisterialug_standins/emulated_worker.py
@@ -35,6 +35,7 @@
     """One incarnation of a worker.
 
     Attributes:
+      listed: The registry has its entry.
       unreachable: Receives no calls.
       drops_replies: Carries out calls without replying.
       fault_rates: Fraction of calls with each fault.
@@ -43,6 +44,7 @@
     """
 
     report: model.WorkerReport
+    listed: bool = True
     unreachable: bool = False
     drops_replies: bool = False
     fault_rates: dict[order_faults.OrderFault, float] = dataclasses.field(
--- a/tests/test_daemon/test_workflow_orders.py
+++ b/tests/test_daemon/test_workflow_orders.py
@@ -35,3 +35,26 @@
 
     def test_task_runs_twice_if_the_repeated_start_finds_no_room(self):
         self.run_with_faults(Fault.LATE, Fault.NO_ROOM)
+
+
+class UncommittedEndTest(workflow_base.WorkflowTest):
+    """The store is away while a worker drops out of the list and returns."""
+
+    duration_s = 0.5
+
+    def test_end_is_acknowledged_before_it_is_durable(self):
+        self.start_nodes(1, workers=1)
+        job = self.submit(step(1))
+        self.wait_for(lambda: self.fleet.history, 5)
+        self.store.down = True
+        self.wait_for(lambda: self.fleet.history[0].ended_s, 5)
+        eventlet.sleep(0.5)
+        for listed in (False, True):
+            self.fleet.set_listed("w0", listed=listed)
+            eventlet.sleep(1)
+        self.assertFalse(self.fleet.history[0].acked)
+        self.kill_node("n0")
+        self.store.down = False
+        self.start_node("n1")
+        self.wait_for_state(job, workflow_pb2.JOB_COMPLETED)
+        self.assertEqual(1, len(self.fleet.history))
