A random test of late, lost, repeated and refused orders in one run

RandomOrdersTest gives most workers shares of late, refused, lost, unanswered and repeated orders at once, less of them for reports, beside killed owners, lost replies of the store and workers that drop out of the list.

--- a/packages/wisterialug-standins/src/wisterialug_standins/emulated_worker.py
+++ b/packages/wisterialug-standins/src/wisterialug_standins/emulated_worker.py
@@ -16,7 +16,8 @@
     """What actually happened to one run.
 
     Attributes:
-      acked: The scheduler has told the worker that the run's end is durable.
+      acked: The scheduler has told the worker that the run's end is durable,
+        and no lease has lapsed between the end and that.
     """
 
     task: str
@@ -39,8 +40,10 @@
       unreachable: Receives no calls.
       drops_replies: Carries out calls without replying.
       fault_rates: Fraction of calls with each fault.
+      poll_fault_rates: The same for polls, if they differ.
       fails_all: All runs fail immediately.
       hangs: Runs make no progress.
+      lapsed_s: When it last was without a valid lease.
     """
 
     report: model.WorkerReport
@@ -50,10 +53,12 @@
     fault_rates: dict[order_faults.OrderFault, float] = dataclasses.field(
         default_factory=dict
     )
+    poll_fault_rates: dict[order_faults.OrderFault, float] | None = None
     fails_all: bool = False
     hangs: bool = False
     fence: int = 0
     deadline_ms: int = 0
+    lapsed_s: float = 0.0
     ended: list[worker_calls.EndedRun] = dataclasses.field(default_factory=list)
     next_seq: int = 1
     running: dict[str, RunRecord] = dataclasses.field(default_factory=dict)
--- a/packages/wisterialug-standins/src/wisterialug_standins/emulated_workers.py
+++ b/packages/wisterialug-standins/src/wisterialug_standins/emulated_workers.py
@@ -135,12 +135,12 @@
             self._extend(target, deadline_ms)
             for ended in target.ended:
                 if ended.seq <= durable_seq:
-                    self._mark_acked(ended, target.report.id)
+                    self._mark_acked(ended, target)
             target.ended = [e for e in target.ended if e.seq > durable_seq]
             return None
 
         sent_s = clock.now_s()
-        reply = self._deliver(worker, timeout_s, carry_out)
+        reply = self._deliver(worker, timeout_s, carry_out, is_poll=True)
         if reply.is_err():
             return reply
         target = self.workers.get(worker.id)
@@ -180,6 +180,8 @@
             [emulated_worker.EmulatedWorker], errors.WorkerError | None
         ],
         fault: order_faults.OrderFault | None = None,
+        *,
+        is_poll: bool = False,
     ) -> result.Result[worker_calls.Reply, errors.WorkerError]:
         """Delivers a call with a fault, drawn by the worker's rates if None."""
         sent_s = clock.now_s()
@@ -188,7 +190,10 @@
         if target is None or target.unreachable:
             eventlet.sleep(timeout_s)
             return result.Err(errors.NoAnswerError("unreachable"))
-        fault = fault or order_faults.draw(target.fault_rates, self._rng)
+        rates = target.fault_rates
+        if is_poll and target.poll_fault_rates is not None:
+            rates = target.poll_fault_rates
+        fault = fault or order_faults.draw(rates, self._rng)
         if fault is order_faults.OrderFault.REFUSED:
             return result.Err(errors.UnwellError())
         if fault is order_faults.OrderFault.NO_ROOM:
@@ -265,11 +270,16 @@
                 target.deadline_ms, min(deadline_ms, longest)
             )
 
-    def _mark_acked(self, ended: worker_calls.EndedRun, worker: str) -> None:
+    def _mark_acked(
+        self,
+        ended: worker_calls.EndedRun,
+        worker: emulated_worker.EmulatedWorker,
+    ) -> None:
+        """Marks a run's end as acknowledged, unless a lease has lapsed since."""
         for record in self.history:
             same = (record.task, record.run) == (ended.task, ended.run)
-            if same and record.worker == worker:
-                record.acked = True
+            if same and record.worker == worker.report.id:
+                record.acked = record.ended_s > worker.lapsed_s
 
     def _end_run(
         self,
@@ -335,6 +345,8 @@
 
     def _tick_worker(self, worker: emulated_worker.EmulatedWorker) -> None:
         lapsed = worker.deadline_ms < _clock_ms()
+        if lapsed:
+            worker.lapsed_s = clock.now_s()
         for record in list(worker.running.values()):
             if record.end is not None:
                 # Ended with another member of its gang.
--- a/tests/test_daemon/test_workflow_orders.py
+++ b/tests/test_daemon/test_workflow_orders.py
@@ -1,5 +1,8 @@
 """Orders to workers that are late, lost, repeated or refused."""
 
+import os
+import typing
+
 import eventlet
 
 from tests.test_daemon import workflow_base
@@ -77,3 +80,79 @@
         self.clear_faults()
         self.wait_for_state(job, workflow_pb2.JOB_COMPLETED)
         self.assertEqual(1, len(self.fleet.history))
+
+
+class RandomOrdersTest(workflow_base.WorkflowTest):
+    """Late, lost, repeated and refused orders in one run, by seed."""
+
+    SEEDS = os.environ.get("WISTERIALUG_ORDER_SEEDS", "61,62").split(",")
+    WORKERS = 8
+    JOBS = 14
+    # Highest shares of the orders to a worker with faults.
+    MOST_FAULTS: typing.ClassVar = {
+        Fault.LATE: 0.4,
+        Fault.REFUSED: 0.2,
+        Fault.NO_ROOM: 0.15,
+        Fault.REPEATED: 0.1,
+        Fault.LOST: 0.05,
+        Fault.UNANSWERED: 0.05,
+    }
+    # Reports are disturbed less, since a silent worker gets no orders.
+    POLL_SHARE = 0.2
+
+    def run_s(self, task):
+        # Differs between tasks, and is the same for all runs of one.
+        return 0.2 + sum(task.encode()) % 20 / 10
+
+    def test_seeds(self):
+        for seed in self.SEEDS:
+            self.seed = int(seed)
+            self.rng.seed(self.seed)
+            if not self.nodes:
+                self.start_nodes(3, workers=self.WORKERS)
+            self.run_scenario()
+
+    def run_scenario(self):
+        jobs = []
+        for number in range(self.JOBS):
+            jobs.append(self.submit(*self.random_steps()))
+            self.draw_order_faults()
+            fault = self.rng.choice(["kill", "lost", "unlisted", "none"])
+            self.inject_control_fault(fault, number)
+            unlisted = self.rng.choice(list(self.fleet.workers))
+            if fault == "unlisted":
+                self.fleet.set_listed(unlisted, listed=False)
+            eventlet.sleep(self.rng.uniform(0.3, 1.0))
+            self.fleet.set_listed(unlisted, listed=True)
+            self.store.lost_reply_rate = 0.0
+            if not self.rng.randrange(5):
+                self.cancel(jobs.pop(self.rng.randrange(len(jobs))))
+        self.clear_faults()
+        for job in jobs:
+            if self.jobs[job].steps[0].long_running:
+                self.cancel(job)
+            else:
+                self.wait_for_state(job, workflow_pb2.JOB_COMPLETED, 40)
+        # The last late orders arrive.
+        eventlet.sleep(self.fleet.order_delay_s[1])
+        self.check_invariants()
+
+    def draw_order_faults(self):
+        """Gives most workers faults of their own."""
+        for worker in self.fleet.workers.values():
+            worker.fault_rates = {}
+            worker.poll_fault_rates = {}
+            if not self.rng.randrange(4):
+                continue
+            for fault, most in self.MOST_FAULTS.items():
+                rate = self.rng.uniform(0.5, 1.0) * most
+                worker.fault_rates[fault] = rate
+                worker.poll_fault_rates[fault] = self.POLL_SHARE * rate
+
+    def random_steps(self):
+        draw = self.rng.randrange(4)
+        if draw == 0:
+            return [step(3, long_running=True, max_per_worker=2)]
+        if draw == 1:
+            return [step(3, gang=True), step(2, after=[0])]
+        return [step(24), step(12, after=[0], max_per_worker=3)]
--- a/tests/test_daemon/workflow_base.py
+++ b/tests/test_daemon/workflow_base.py
@@ -202,6 +202,7 @@
         for worker in self.fleet.workers.values():
             worker.unreachable = False
             worker.fault_rates = {}
+            worker.poll_fault_rates = None
 
     def check_invariants(self):
         self.assertEqual(
--- a/tests/test_standins/test_emulated_workers.py
+++ b/tests/test_standins/test_emulated_workers.py
@@ -6,7 +6,7 @@
 import testtools
 
 from wisterialug_core.workflow import model
-from wisterialug_daemon.workflow import clock, worker_calls
+from wisterialug_daemon.workflow import clock, errors, worker_calls
 from wisterialug_standins import emulated_workers, order_faults
 
 LEASE_MS = 5000
@@ -68,3 +68,63 @@
         fleet.crash("w0")
         eventlet.sleep(emulated_workers.ORDER_DELAY_S[1] + 0.1)
         self.assertEqual([], fleet.history)
+
+
+class AcknowledgementTest(testtools.TestCase):
+    """An end counts as noted if it is acknowledged before the lease lapses."""
+
+    def run_and_acknowledge(self, lease_ms, after_s):
+        fleet = emulated_workers.EmulatedFleet(random.Random(1), lambda _: 0.1)
+        self.addCleanup(fleet.close)
+        report = fleet.add("w0").report
+        deadline_ms = int(clock.now_s() * 1000) + lease_ms
+        order = worker_calls.StartOrder("j.0.0.0", 1, "x", "", deadline_ms, 1)
+        self.assertTrue(fleet.start(report, order, TIMEOUT_S).is_ok())
+        eventlet.sleep(after_s)
+        self.assertIs(model.RunEnd.DONE, fleet.history[0].end)
+        fleet.poll(report, 1, 1, None, 0, TIMEOUT_S)
+        return fleet.history[0].acked
+
+    def test_end_is_noted_under_the_lease(self):
+        self.assertTrue(self.run_and_acknowledge(LEASE_MS, 0.3))
+
+    def test_end_is_not_noted_after_the_lease(self):
+        self.assertFalse(self.run_and_acknowledge(200, 0.4))
+
+
+class FaultTest(testtools.TestCase):
+    """Faults of single starts."""
+
+    def start(self, fault):
+        fleet = emulated_workers.EmulatedFleet(random.Random(1), lambda _: 9.0)
+        self.addCleanup(fleet.close)
+        fleet.order_delay_s = (0.1, 0.1)
+        fleet.next_start_faults.append(fault)
+        report = fleet.add("w0").report
+        deadline_ms = int(clock.now_s() * 1000) + LEASE_MS
+        order = worker_calls.StartOrder("j.0.0.0", 1, "x", "", deadline_ms, 1)
+        outcome = fleet.start(report, order, 0.01)
+        at_once = len(fleet.history)
+        eventlet.sleep(0.2)
+        return outcome, at_once, len(fleet.history)
+
+    def check_error(self, error, runs, fault):
+        outcome, *counts = self.start(fault)
+        self.assertIsInstance(outcome.err_value, error)
+        self.assertEqual(runs, counts)
+
+    def test_orders_without_a_reply(self):
+        fault = order_faults.OrderFault
+        self.check_error(errors.NoAnswerError, [0, 1], fault.LATE)
+        self.check_error(errors.NoAnswerError, [0, 0], fault.LOST)
+        self.check_error(errors.NoAnswerError, [1, 1], fault.UNANSWERED)
+
+    def test_rejected_orders(self):
+        fault = order_faults.OrderFault
+        self.check_error(errors.UnwellError, [0, 0], fault.REFUSED)
+        self.check_error(errors.RejectedError, [0, 0], fault.NO_ROOM)
+
+    def test_repeated_order_begins_one_run(self):
+        outcome, *counts = self.start(order_faults.OrderFault.REPEATED)
+        self.assertTrue(outcome.is_ok())
+        self.assertEqual([1, 1], counts)
