A replaced owner does not take its earlier change for its ownership

Cause: a change that got no reply is sent again. If another process had claimed the shard between the two attempts, the second one met its own mark, counted as made, and the owner took the shard for confirmed at the time of the second attempt. Leases may be extended for 8 s from then, but the new owner counts these 8 s from its claim, which was earlier: on a worker that only the old owner reaches, a run could outlive the time at which the new owner starts its task elsewhere.

Evidence: LostReplyTest (change and renewal, claimed by another process before the second attempt) failed: the change was reported as made under the lost ownership.

Change: the answer to the second attempt shows the owner's row too; its version must be the one that this owner has written, in the same change or before.

--- a/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/shard_store.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/shard_store.py
@@ -188,7 +188,9 @@
         while should_continue():
             sent_s = clock.now_s()
             outcome = self._store.commit(transaction, COMMIT_TIMEOUT_S)
-            version = self._committed_version(outcome, mark)
+            version = self._committed_version(
+                outcome, mark, renews=renewal is not None
+            )
             if version is not None:
                 if version < 0:
                     return result.Err(OwnershipLostError())
@@ -208,18 +210,32 @@
         return result.Err(errors.StoreUnknownError("retries stopped"))
 
     def _committed_version(
-        self, outcome: result.Result[int, errors.StoreError], mark: bytes
+        self,
+        outcome: result.Result[int, errors.StoreError],
+        mark: bytes,
+        *,
+        renews: bool,
     ) -> int | None:
-        """Returns the change's version, -1 on a conflict, None if unknown."""
+        """Returns the change's version, None if unknown, -1 if not the owner.
+
+        Args:
+          outcome: Outcome of the latest attempt.
+          mark: Mark that the change writes.
+          renews: Whether the change writes the owner's row.
+        """
         if outcome.is_ok():
             return outcome.ok_value
         if not isinstance(outcome.err_value, errors.ConflictError):
             return None
-        for row in outcome.err_value.rows:
-            # An earlier attempt took effect, but its response was lost.
-            if row.ref == records.mark(self.shard) and row.value == mark:
-                return row.version
-        return -1
+        rows = {row.ref: row for row in outcome.err_value.rows}
+        marked = rows.get(records.mark(self.shard))
+        owned = rows.get(records.owner(self.shard))
+        if marked is None or marked.value != mark or owned is None:
+            return -1
+        # An earlier attempt took effect, but its response was lost. Another
+        # process may have claimed the shard since.
+        expected = marked.version if renews else self._owner_version
+        return marked.version if owned.version == expected else -1
 
     def _confirm_change(
         self,
--- /dev/null
+++ b/tests/test_daemon/test_shard_store.py
@@ -0,0 +1,68 @@
+"""Tests of changes to a shard's rows under one epoch."""
+
+import random
+
+import testtools
+
+from wisterialug_core.schema import workflow_pb2
+from wisterialug_daemon.workflow import clock, records, row_store, shard_store
+from wisterialug_standins import memory_store
+
+SHARD = "s0"
+
+
+class LostReplyTest(testtools.TestCase):
+    """A change is made without a reply; it is sent again seconds later."""
+
+    def setUp(self):
+        super().setUp()
+        self.store = memory_store.MemoryStore(random.Random(1))
+        version = self.claim(0, 1)
+        self.rows = shard_store.ShardStore(
+            self.store, SHARD, self.ownership(1), version, clock.now_s()
+        )
+
+    def ownership(self, epoch):
+        return workflow_pb2.Ownership(owner=f"vm{epoch}", epoch=epoch)
+
+    def claim(self, version, epoch):
+        """Writes the owner's row; returns its version."""
+        ref = records.owner(SHARD)
+        value = self.ownership(epoch).SerializeToString()
+        outcome = self.store.commit(
+            row_store.Transaction(((ref, version),), ((ref, value),)), 1.0
+        )
+        return outcome.unwrap()
+
+    def change(self, renewal, claimed):
+        """Makes a change; before it is repeated, the shard may be claimed."""
+        attempts = []
+
+        def before_attempt():
+            attempts.append(None)
+            self.store.lost_reply_rate = 0.0
+            if len(attempts) == 1:
+                self.store.lost_reply_rate = 1.0
+            elif claimed:
+                ref = records.owner(SHARD)
+                rows = row_store.scan_row(self.store, ref, 1.0).unwrap().rows
+                self.claim(rows[0].version, 2)
+            return len(attempts) <= 2
+
+        return self.rows.change([], [], renewal, before_attempt)
+
+    def check_claimed(self, renewal):
+        before_s = self.rows.confirmed_s
+        outcome = self.change(renewal, claimed=True)
+        self.assertIsInstance(outcome.err_value, shard_store.OwnershipLostError)
+        self.assertEqual(before_s, self.rows.confirmed_s)
+
+    def test_replaced_owner_takes_its_earlier_change_for_its_ownership(self):
+        self.check_claimed(None)
+
+    def test_replaced_owner_takes_its_earlier_renewal_for_its_ownership(self):
+        self.check_claimed(self.ownership(1))
+
+    def test_change_that_was_made_is_found(self):
+        for renewal in (None, self.ownership(1), None):
+            self.assertTrue(self.change(renewal, claimed=False).is_ok())
