One reading of the clock decides a lease and its end

What callers could see: a task that runs twice if a VM is suspended at the wrong moment.

Cause: whether an owner may still extend leases was decided with one reading of the clock, and the end of the lease was counted from a second one. A process that is suspended between the two grants a lease that ends later than a new owner assumes.

Change: leases.LeaseView.grant takes the time of the last confirmation and decides both with one reading; leases.earlier_expiry_s, what a new owner assumes, stands beside it. Both are pure and out of the owner.

Tests: a new test plays each tenth of a second after the confirmation with the slowest clock: no lease ends after what the new owner assumes.

--- a/packages/wisterialug-core/src/wisterialug_core/workflow/leases.py
+++ b/packages/wisterialug-core/src/wisterialug_core/workflow/leases.py
@@ -6,6 +6,20 @@
 
 # Lowest rate of a worker's clock to the owner's, as the platform specifies.
 MIN_CLOCK_RATE = 0.98
+# Without a successful commit for this long, leases are not extended: a new
+# owner presumes unreachable workers' runs lost after this time and one lease.
+MAX_UNCONFIRMED_S = 8.0
+
+
+def earlier_expiry_s(acquired_s: float, length_ms: int) -> float:
+    """Returns when all leases of earlier owners have surely expired.
+
+    Args:
+      acquired_s: When this owner had acquired the shard.
+      length_ms: Longest lease that any owner grants.
+    """
+    lease_s = length_ms / 1000 / MIN_CLOCK_RATE
+    return acquired_s + MAX_UNCONFIRMED_S + lease_s
 
 
 @dataclasses.dataclass(slots=True)
@@ -31,14 +45,28 @@
             self.clock_ms = clock_ms
             self.clock_received_s = received_s
 
-    def grant(self, now_s: float, length_ms: int) -> int | None:
-        """Returns a new lease deadline; None before the first response.
+    def grant(
+        self, now_s: float, confirmed_s: float, length_ms: int
+    ) -> int | None:
+        """Returns a new lease deadline.
+
+        The deadline is at most `length_ms` after the worker's time at `now_s`.
+        A new owner relies on it: from the worker's clock in its first response,
+        or from when it acquired the shard, it knows when all leases of earlier
+        owners have expired. So one reading of the clock decides both whether
+        there is a lease and when it ends; the process may be suspended between
+        two readings.
+
+        Args:
+          now_s: Present time.
+          confirmed_s: When the ownership of the shard was last confirmed.
+          length_ms: Length of the lease.
 
-        The deadline is at most `length_ms` after the worker's present time. A
-        new owner relies on it: from the worker's clock in its first response,
-        it knows when all leases of earlier owners have expired.
+        Returns:
+          The deadline, or None before the worker's first response and if a new
+          owner may not wait for the lease.
         """
-        if self.clock_ms < 0:
+        if self.clock_ms < 0 or now_s - confirmed_s >= MAX_UNCONFIRMED_S:
             return None
         # A lower bound of the clock. It was read before the response arrived,
         # seconds after the call was sent if the worker waited for an end.
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/dispatcher.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/dispatcher.py
@@ -102,10 +102,10 @@
             if not self._is_starting(start):
                 return
             entry = self._owner.shard_jobs.jobs[task.key.job]
-            deadline_ms = (
-                worker.lease.grant(clock.now_s(), self._owner.cfg.lease_ms)
-                if self._owner.may_extend_leases()
-                else None
+            deadline_ms = worker.lease.grant(
+                clock.now_s(),
+                self._owner.rows.confirmed_s,
+                self._owner.cfg.lease_ms,
             )
             if entry.final or deadline_ms is None:
                 self._abandon(start, "no longer needed, or no lease")
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/owner.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/owner.py
@@ -12,7 +12,6 @@
 from wisterialug_core.workflow import (
     fill_interference,
     job_table,
-    leases,
     model,
     step_placement,
     worker_table,
@@ -49,9 +48,6 @@
 
 # Interval of ownership renewals; candidates take over after three missed ones.
 RENEWAL_INTERVAL_S = 0.5
-# Without a successful commit for this long, leases are not extended: a new
-# owner presumes unreachable workers' runs lost after this time and one lease.
-MAX_UNCONFIRMED_S = 8.0
 # Events trigger a scheduling cycle at once.
 MAX_CYCLE_INTERVAL_S = 0.25
 # Pause after each commit, so that run ends are committed in batches.
@@ -111,16 +107,6 @@
         """Returns the fencing token of all orders."""
         return self.rows.epoch
 
-    def may_extend_leases(self) -> bool:
-        """Returns whether a new owner would wait for a lease granted now."""
-        unconfirmed_s = clock.now_s() - self.rows.confirmed_s
-        return not self.lost and unconfirmed_s < MAX_UNCONFIRMED_S
-
-    def earlier_leases_expiry_s(self) -> float:
-        """Returns when all leases of earlier owners have surely expired."""
-        lease_s = self.cfg.lease_ms / 1000 / leases.MIN_CLOCK_RATE
-        return self.acquired_s + MAX_UNCONFIRMED_S + lease_s
-
     def wake(self) -> None:
         """Triggers the next scheduling cycle at once."""
         if not self._wake.ready():
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/worker_session.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/worker_session.py
@@ -7,7 +7,7 @@
 import eventlet
 import eventlet.event
 
-from wisterialug_core.workflow import model, run_proofs
+from wisterialug_core.workflow import leases, model, run_proofs
 from wisterialug_daemon import logs
 from wisterialug_daemon.workflow import (
     clock,
@@ -175,13 +175,14 @@
             not worker.runs
             or not worker.fenced
             or silent_s > MAX_SILENCE_S
-            or not self._owner.may_extend_leases()
+            or self._owner.lost
         ):
             return None
         length_ms = self._owner.cfg.lease_ms
         if worker.report.state is model.WorkerState.DRAINING:
             length_ms = DRAINING_LEASE_MS
-        return worker.lease.grant(now_s, length_ms)
+        confirmed_s = self._owner.rows.confirmed_s
+        return worker.lease.grant(now_s, confirmed_s, length_ms)
 
     def _handle_report(self, report: worker_calls.RunReport) -> None:
         worker = self.worker
@@ -353,7 +354,9 @@
         expiry_s = (
             self.worker.lease.latest_expiry_s()
             if self.worker.fenced
-            else self._owner.earlier_leases_expiry_s()
+            else leases.earlier_expiry_s(
+                self._owner.acquired_s, self._owner.cfg.lease_ms
+            )
         )
         if now_s > expiry_s and self.worker.runs:
             self._mark_runs_lost(run_proofs.Proof.LEASE_EXPIRED)
--- a/tests/test_core/test_workflow/test_leases.py
+++ b/tests/test_core/test_workflow/test_leases.py
@@ -9,7 +9,7 @@
 
 class LeaseTest(testtools.TestCase):
     def test_nothing_is_granted_before_the_first_answer(self):
-        self.assertIsNone(leases.LeaseView().grant(10.0, 4000))
+        self.assertIsNone(leases.LeaseView().grant(10.0, 10.0, 4000))
 
     def test_no_lease_ends_after_the_worker_clock_and_its_length(self):
         # An owner was replaced just after it had extended a lease. The worker
@@ -25,17 +25,18 @@
             lease = leases.LeaseView()
             lease.record_clock(int(read_s * rate * 1000), received_s)
             clock_ms = granted_s * rate * 1000
-            self.assertLessEqual(lease.grant(granted_s, 4000), clock_ms + 4000)
+            deadline_ms = lease.grant(granted_s, granted_s, 4000)
+            self.assertLessEqual(deadline_ms, clock_ms + 4000)
 
     def test_most_of_the_length_is_granted(self):
         lease = leases.LeaseView()
         lease.record_clock(5000, received_s=10.4)
-        self.assertEqual(5000 + 588 + 4000, lease.grant(11.0, 4000))
+        self.assertEqual(5000 + 588 + 4000, lease.grant(11.0, 11.0, 4000))
 
     def test_expiry_allows_for_a_slow_clock(self):
         lease = leases.LeaseView()
         lease.record_clock(5000, received_s=10.1)
-        lease.grant(10.1, 4900)
+        lease.grant(10.1, 10.1, 4900)
         self.assertAlmostEqual(10.1 + 5.0, lease.latest_expiry_s())
 
     def test_older_answers_do_not_turn_the_clock_back(self):
@@ -47,6 +48,22 @@
     def test_shorter_grant_does_not_lower_the_deadline(self):
         lease = leases.LeaseView()
         lease.record_clock(0, 0.0)
-        lease.grant(0.0, 4000)
-        lease.grant(0.0, 1000)
+        lease.grant(0.0, 0.0, 4000)
+        lease.grant(0.0, 0.0, 1000)
         self.assertEqual(4000, lease.deadline_ms)
+
+    def test_no_lease_outlives_what_a_new_owner_assumes(self):
+        # The shard is acquired by another owner right after the confirmation;
+        # the worker's clock is the slowest one, and reads its time at once.
+        rate = leases.MIN_CLOCK_RATE
+        expiry_s = leases.earlier_expiry_s(10.0, 4000)
+        granted = 0
+        for step in range(100):
+            now_s = 10.0 + step / 10
+            lease = leases.LeaseView()
+            lease.record_clock(int(now_s * rate * 1000), now_s)
+            deadline_ms = lease.grant(now_s, 10.0, 4000)
+            if deadline_ms is not None:
+                granted += 1
+                self.assertLessEqual(deadline_ms / 1000 / rate, expiry_s)
+        self.assertEqual(80, granted)
