The record of a borrowed job is kept as long as its loan, also after a takeover

What callers would see: a task that is done runs again (TWICE), if its whole job was lent, the borrower changed owners twice, and the home shard removed the loan later than the borrower its record.

Cause: the next owner of the borrower met the loan after it had restored the job as ended, and returned before it noted the lender. So nothing kept the record, and the owner after that took the loan for new.

Evidence: test_next_owner_of_a_whole_borrowed_job_forgets_its_lender failed (no lender).

Change: the lender is noted before the end of the job is looked at.

Result: test_loans passes.

--- a/packages/wisterialug-core/src/wisterialug_core/workflow/loans.py
+++ b/packages/wisterialug-core/src/wisterialug_core/workflow/loans.py
@@ -88,9 +88,12 @@
     def borrow(self, loan: workflow_pb2.Loan) -> bool:
         """Accepts lent tasks; returns whether any are new here."""
         entry = self._jobs.add_borrowed(loan.job)
-        if entry is None or entry.final:
+        if entry is None:
             return False
+        # Also of an ended job: its record is kept as long as the loan.
         entry.lenders.add(loan.from_shard)
+        if entry.final:
+            return False
         new = False
         for record in loan.tasks:
             key = model.GroupKey(entry.job.id, record.repetition, record.step)
--- a/tests/test_core/test_workflow/test_loans.py
+++ b/tests/test_core/test_workflow/test_loans.py
@@ -225,6 +225,17 @@
         other.jobs.end(task, model.RunEnd.DONE, "", NOW_MS)
         self.assertEqual(2, len(other.loans.result("j").tasks))
 
+    def test_next_owner_of_a_whole_borrowed_job_forgets_its_lender(self):
+        # Without its lender, the record would be removed before the loan, and
+        # the owner after that would run the tasks of the loan again.
+        self.shards["s0"] = Shard("s0")
+        self.shards["s0"].jobs.add(finite_job(1))
+        loan = self.lend("s0", "s1", 0)
+        self.run_task("s1", 0)
+        self.assertTrue(self.other.jobs.jobs["j"].final)
+        other = self.restored("s1", loan)
+        self.assertEqual({"s0"}, other.jobs.jobs["j"].lenders)
+
     def test_result_read_twice_or_late_changes_nothing(self):
         self.lend("s0", "s1", 1)
         self.run_task("s1", 1)
