A worker that is listed again is polled again

What callers would see: a worker that gets no runs until it is unlisted again or the owner changes.

Cause: an order's answer that arrived after its worker had been removed made a new session, bound to the removed worker. When the worker was listed again, it got that session, which polls nothing.

Change: a session is kept only for a worker that stands in the table, and is not taken for another object of the same id.

--- a/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/worker_sessions.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/worker_sessions.py
@@ -26,10 +26,14 @@
 
     def get(self, worker: worker_table.Worker) -> worker_session.WorkerSession:
         """Returns the worker's session, started if the worker needs one."""
-        session = self._by_worker.get(worker.report.id)
-        if session is None:
+        worker_id = worker.report.id
+        session = self._by_worker.get(worker_id)
+        if session is None or session.worker is not worker:
             session = worker_session.WorkerSession(self._owner, worker)
-            self._by_worker[worker.report.id] = session
+            # An answer may arrive after its worker was removed, when the
+            # worker may already have been listed again.
+            if self._owner.shard_workers.workers.get(worker_id) is worker:
+                self._by_worker[worker_id] = session
         session.ensure_running()
         return session
 
