A stopped run that never began ends with the next report

Cause: a run that never began has no end, so that a poll which waits for one lasts its full second, after the one that was under way when the stop was acknowledged.

Change: the next poll does not wait while a run here was stopped before it was known to begin. The pause before the next start holds for runs that end by a stop, too. An unlisted worker is asked to forget durable ends until it has been silent for a lease, not after one poll without an answer.

Tests: UnansweredStartTest asks that the next run begins within a poll and half a second after the rejection; it passed before as well, as its polls were short.

--- a/packages/wisterialug-core/src/wisterialug_core/workflow/run_proofs.py
+++ b/packages/wisterialug-core/src/wisterialug_core/workflow/run_proofs.py
@@ -48,6 +48,11 @@
     stop_acked_s: float = 0.0
     earlier_epoch: bool = False
 
+    @property
+    def awaits_absence(self) -> bool:
+        """Returns whether the next report shows if a stopped run exists."""
+        return self.stop_acked_s > 0 and not self.confirmed_s
+
     def confirm(self, received_s: float) -> None:
         """Records a response which shows that the worker knows the run."""
         self.confirmed_s = self.confirmed_s or received_s
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/dispatcher.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/dispatcher.py
@@ -169,15 +169,15 @@
         Args:
           start: The placement of the run.
           why: Why it is given up.
-          backoff_s: Time before the next start if the run ends at once.
+          backoff_s: Least time before the next start.
         """
         task = start.task
         if not self._is_starting(start):
             return
+        task.not_before_s = clock.now_s() + backoff_s
         if task.orders.open:
             self.stop(task, why)
             return
-        task.not_before_s = clock.now_s() + backoff_s
         self._owner.end_run(
             task, model.RunEnd.LOST, "", run_proofs.Proof.NO_OPEN_START
         )
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/worker_session.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/worker_session.py
@@ -114,14 +114,20 @@
     def _needed(self) -> bool:
         worker = self.worker
         absent = worker.report.state is model.WorkerState.ABSENT
+        lost = absent and self._silent_s() > self._owner.cfg.lease_ms / 1000
         unacked = self._acked_seq < self._highest_seq
         return not worker.gone and bool(
             worker.runs
             or self._uncommitted
-            or (unacked and not (absent and worker.silent_since_s))
+            or (unacked and not lost)
             or ((not worker.fenced or worker.silent_since_s) and not absent)
         )
 
+    def _silent_s(self) -> float:
+        """Returns for how long the worker has not answered."""
+        since_s = self.worker.silent_since_s
+        return clock.now_s() - since_s if since_s else 0.0
+
     def _run(self) -> None:
         try:
             while not self._owner.lost and self._needed():
@@ -139,7 +145,12 @@
                 self._all_committed.wait()
         self._all_committed = eventlet.event.Event()
         wait_ms = 0
-        if worker.fenced and not self._uncommitted and worker.runs:
+        if (
+            worker.fenced
+            and not self._uncommitted
+            and worker.runs
+            and not self._awaits_absence()
+        ):
             draining = worker.report.state is model.WorkerState.DRAINING
             wait_ms = LONG_POLL_MS
             if draining or self.pacing.may_interfere():
@@ -162,6 +173,14 @@
         else:
             self._handle_error(outcome.err_value, sent_s)
 
+    def _awaits_absence(self) -> bool:
+        """Returns whether a run was stopped before it was known to begin.
+
+        It has no end that a waiting poll would respond to.
+        """
+        tasks = map(self._owner.shard_jobs.task, self.worker.runs)
+        return any(t is not None and t.orders.awaits_absence for t in tasks)
+
     def _durable_seq(self) -> int:
         """Returns the sequence number up to which all ends are durable."""
         if self._uncommitted:
@@ -170,11 +189,10 @@
 
     def _deadline_ms(self, now_s: float) -> int | None:
         worker = self.worker
-        silent_s = now_s - worker.silent_since_s if worker.silent_since_s else 0
         if (
             not worker.runs
             or not worker.fenced
-            or silent_s > MAX_SILENCE_S
+            or self._silent_s() > MAX_SILENCE_S
             or self._owner.lost
         ):
             return None
