News of a member counts from when the member was heard

The killed owner, held for dead by one VM 0.8 s after the kill, was alive for it again 0.8 s later; VMs that prefer a member they hold for alive wait 0.5 s or more before they claim its shard.

Cause: any higher sequence set the time of the last heartbeat to the arrival of the message, also if a peer had passed it on. Silence began anew with each peer that heard of the last heartbeat late, and a dead member that one VM had dropped was alive again from the next full digest of another, in turns and without end.

Evidence: on four of four NewsFromPeersTest and the state machine, with its new rule and check, fail; the machine finds a VM down that a peer holds for fresher than any live VM did the round before.

Change: records and beats carry the silence of their member so far, rounded up, and the receiver counts on from there; a member says 0 of itself. What is relayed of other data centres still goes by the time of arrival. Field numbers are new: VMs of the version before say 0 and are treated as before.

--- a/packages/wisterialug-core/src/wisterialug_core/decisions/membership.py
+++ b/packages/wisterialug-core/src/wisterialug_core/decisions/membership.py
@@ -3,13 +3,16 @@
 Each member increments its own sequence number; records of one incarnation
 are merged by the highest sequence, so that loss, duplication and reordering
 of messages do no harm.  A silent member is first suspected and later
-declared dead; any higher sequence refutes both.
+declared dead; any later heartbeat refutes both.  Records passed on by a peer
+carry how long the member has been silent, so that members detect a failure
+at the same time whichever way they heard last.
 """
 
 from __future__ import annotations
 
 import dataclasses
 import enum
+import math
 import zlib
 from typing import TYPE_CHECKING
 
@@ -56,12 +59,20 @@
 @dataclasses.dataclass
 class _Entry:
     record: peer_pb2.Member
+    # When the member sent the newest sequence, by this VM's clock.
     heard_at: float
+    # When the newest sequence reached this VM, from the member or a peer.
+    received_at: float
     # When anything but the sequence last changed.
     changed_at: float = 0.0
     # Peer address according to the VM list.
     listed_address: tuple[str, int] | None = None
 
+    def mark_heard(self, heard_at: float, now: float) -> None:
+        """Records the arrival of a newer sequence."""
+        self.heard_at = max(self.heard_at, heard_at)
+        self.received_at = now
+
 
 class MemberTable:
     """The members known to one VM, itself included."""
@@ -71,7 +82,9 @@
     ) -> None:
         self.own = own
         self._timeouts = timeouts
-        self._entries: dict[ids.VmId, _Entry] = {own.vm: _Entry(own, now, now)}
+        self._entries: dict[ids.VmId, _Entry] = {
+            own.vm: _Entry(own, now, now, now)
+        }
         self._own_content = b""
 
     def increment_sequence(self, now: float) -> None:
@@ -90,14 +103,16 @@
                 self._raise_own_sequence(record)
                 continue
             entry = self._entries.get(record.vm)
+            heard_at = _heard_at(record, now)
+            record.silence_ms = 0
             if entry is None:
-                self._entries[record.vm] = _Entry(record, now, now)
+                self._entries[record.vm] = _Entry(record, heard_at, now, now)
             elif _newer(record, entry.record):
                 entry.record.sequence = record.sequence
                 if entry.record != record:
                     entry.record = record
                     entry.changed_at = now
-                entry.heard_at = now
+                entry.mark_heard(heard_at, now)
 
     def merge_beats(self, beats: Iterable[peer_pb2.Beat], now: float) -> None:
         """Merges beats of members whose records have not changed."""
@@ -108,7 +123,7 @@
             record = entry.record
             if beat.life == _life(record) and record.sequence < beat.sequence:
                 record.sequence = beat.sequence
-                entry.heard_at = now
+                entry.mark_heard(_heard_at(beat, now), now)
 
     def apply_vm_list(self, vms: Iterable[peer_pb2.Member], now: float) -> None:
         """Sets addresses from the VM list; drops dead unlisted members.
@@ -130,7 +145,7 @@
         for vm, record in listed.items():
             entry = self._entries.get(vm)
             if entry is None:
-                entry = self._entries[vm] = _Entry(record, now)
+                entry = self._entries[vm] = _Entry(record, now, now)
             elif entry.record.sequence == 0:
                 entry.record = record
             entry.listed_address = (record.ip, record.peer_port)
@@ -170,6 +185,14 @@
             if data_centre in (None, entry.record.data_centre)
         ]
 
+    def reports(self, data_centre: str, now: float) -> list[peer_pb2.Member]:
+        """Returns copies of a data centre's records to send to a peer."""
+        return [
+            self._report(entry, now)
+            for entry in self._entries.values()
+            if entry.record.data_centre == data_centre
+        ]
+
     def peers(
         self, now: float, states: frozenset[MemberState]
     ) -> list[peer_pb2.Member]:
@@ -229,27 +252,44 @@
             record = entry.record
             if record.data_centre != self.own.data_centre and (
                 peer_data_centre != self.own.data_centre
-                or now - entry.heard_at > REMOTE_RELAY_S
+                or now - entry.received_at > REMOTE_RELAY_S
             ):
                 continue
             if full or now - entry.changed_at <= FULL_RECORD_S:
-                digest.members.append(record)
+                digest.members.append(self._report(entry, now))
             elif record.sequence:
                 digest.beats.append(
                     peer_pb2.Beat(
                         vm=record.vm,
                         life=_life(record),
                         sequence=record.sequence,
+                        silence_ms=self._silence_ms(entry, now),
                     )
                 )
         return digest
 
+    def _report(self, entry: _Entry, now: float) -> peer_pb2.Member:
+        report = peer_pb2.Member()
+        report.CopyFrom(entry.record)
+        report.silence_ms = self._silence_ms(entry, now)
+        return report
+
+    def _silence_ms(self, entry: _Entry, now: float) -> int:
+        """Returns a member's silence, rounded up: never fresher than here."""
+        if entry.record is self.own:
+            return 0
+        return math.ceil((now - entry.heard_at) * 1000)
+
     def _raise_own_sequence(self, record: peer_pb2.Member) -> None:
         """Keeps the own sequence from falling behind what peers have seen."""
         if record.incarnation == self.own.incarnation:
             self.own.sequence = max(self.own.sequence, record.sequence)
 
 
+def _heard_at(news: peer_pb2.Member | peer_pb2.Beat, now: float) -> float:
+    return now - news.silence_ms / 1000
+
+
 def _life(record: peer_pb2.Member) -> int:
     return zlib.crc32(record.incarnation.encode())
 
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/members.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/members.py
@@ -109,7 +109,9 @@
         """Returns the member records of this data centre."""
         del req
         own_centre = self.table.own.data_centre
-        return peer_pb2.MembersResponse(members=self.table.records(own_centre))
+        return peer_pb2.MembersResponse(
+            members=self.table.reports(own_centre, time.monotonic())
+        )
 
     def member_count(self) -> int:
         """Returns the number of entry VMs not dead, this one included."""
--- a/tests/test_core/test_membership_machine.py
+++ b/tests/test_core/test_membership_machine.py
@@ -17,6 +17,11 @@
 VMS = st.integers(0, COUNT - 1)
 TIMEOUTS = membership.Timeouts(1.5, 2.5)
 ROUND_S = 0.5
+FRESHEST_FIRST = [
+    membership.MemberState.ALIVE,
+    membership.MemberState.SUSPECT,
+    membership.MemberState.DEAD,
+]
 
 
 class MembershipMachine(RuleBasedStateMachine):
@@ -89,6 +94,7 @@
     @rule()
     def converge(self):
         """Runs rounds without faults for longer than failure detection takes."""
+        down_views = self._down_views()
         for number in range(6):
             self.now += ROUND_S
             for n in range(COUNT):
@@ -98,8 +104,36 @@
                 for other in range(COUNT):
                     if self.up[n] and self.up[other]:
                         self._merge(other, self._message(n, number == 0))
+            before, down_views = down_views, self._down_views()
+            for vm, freshness in before.items():
+                assert down_views[vm] >= freshness, (vm, number)
         self.check_views()
 
+    @rule(n=VMS, receiver=VMS, seconds=st.sampled_from([0.5, 1.0, 2.0]))
+    def go_down_after_heartbeat(self, n, receiver, seconds):
+        """Ends a VM whose last heartbeat reaches only one peer."""
+        if self.up[n]:
+            self.tables[n].increment_sequence(self.now)
+            if self.up[receiver]:
+                self._merge(receiver, self._message(n, full=False))
+            self.up[n] = False
+            self.now += seconds
+
+    def _down_views(self):
+        """Returns the freshest state that live VMs hold of each VM down."""
+        live = [self.tables[n] for n in range(COUNT) if self.up[n]]
+        return {
+            n: min(
+                (
+                    FRESHEST_FIRST.index(table.state(f"vm-{n}", self.now))
+                    for table in live
+                ),
+                default=0,
+            )
+            for n in range(COUNT)
+            if not self.up[n]
+        }
+
     def check_views(self):
         for n in range(COUNT):
             if not self.up[n]:
@@ -131,6 +165,98 @@
         machine.run(MembershipMachine, SEED, EXAMPLES, STEPS)
 
 
+class NewsFromPeersTest(testtools.TestCase):
+    """News of a member that reaches a VM through a peer."""
+
+    def setUp(self):
+        super().setUp()
+        self.lost, self.first, self.second = (
+            membership.MemberTable(
+                peer_pb2.Member(
+                    vm=vm,
+                    incarnation=f"session-{vm}",
+                    started_unix_ms=1000,
+                    data_centre="dc",
+                ),
+                TIMEOUTS,
+                0.0,
+            )
+            for vm in ("lost", "first", "second")
+        )
+
+    def send(self, sender, receiver, now, *, full=True):
+        digest = sender.digest("dc", now, full=full)
+        req = peer_pb2.ExchangeRequest.FromString(
+            peer_pb2.ExchangeRequest(
+                members=digest.members, beats=digest.beats
+            ).SerializeToString()
+        )
+        receiver.merge(req.members, now)
+        receiver.merge_beats(req.beats, now)
+
+    def heartbeat(self, receivers, now):
+        self.lost.increment_sequence(now)
+        for receiver in receivers:
+            self.send(self.lost, receiver, now)
+
+    def check_states(self, now, first, second):
+        states = [t.state("lost", now) for t in (self.first, self.second)]
+        self.assertEqual([first, second], states)
+
+    def test_news_is_as_old_as_the_peer_heard_it(self):
+        states = membership.MemberState
+        for start, full in ((10.0, True), (20.0, False)):
+            self.heartbeat([self.first, self.second], start)
+            self.heartbeat([self.first], start + 3.0)
+            self.check_states(start + 3.0, states.ALIVE, states.DEAD)
+            self.send(self.first, self.second, start + 4.6, full=full)
+            self.check_states(start + 4.6, states.SUSPECT, states.SUSPECT)
+            self.check_states(start + 5.5, states.DEAD, states.DEAD)
+
+    def test_age_adds_up_along_a_chain_of_peers(self):
+        self.heartbeat([self.first], 10.0)
+        self.send(self.first, self.second, 11.0)
+        third = membership.MemberTable(
+            peer_pb2.Member(vm="third", data_centre="dc"), TIMEOUTS, 0.0
+        )
+        self.send(self.second, third, 12.0)
+        states = membership.MemberState
+        self.assertIs(states.SUSPECT, third.state("lost", 12.4))
+        self.assertIs(states.DEAD, third.state("lost", 12.5))
+
+    def test_peer_does_not_bring_back_a_dead_member_that_was_dropped(self):
+        self.heartbeat([self.first, self.second], 10.0)
+        listed = [
+            peer_pb2.Member(vm=vm, data_centre="dc")
+            for vm in ("first", "second")
+        ]
+        dead = membership.MemberState.DEAD
+        for number in range(8):
+            now = 12.5 + number
+            for table, other in (
+                (self.second, self.first),
+                (self.first, self.second),
+            ):
+                table.apply_vm_list(listed, now)
+                self.send(other, table, now)
+                self.check_states(now, dead, dead)
+
+    def test_relayed_news_of_other_data_centres_reaches_local_peers(self):
+        remote = membership.MemberTable(
+            peer_pb2.Member(vm="remote", data_centre="far"), TIMEOUTS, 0.0
+        )
+        remote.merge(
+            [peer_pb2.Member(vm="quiet", data_centre="far", sequence=3)], 9.2
+        )
+        digest = remote.digest("dc", 10.0, full=True)
+        self.first.merge(digest.members, 10.0)
+        self.send(self.first, self.second, 10.8)
+        self.assertIsNotNone(self.second.record("quiet"))
+        states = membership.MemberState
+        self.assertIs(states.SUSPECT, self.second.state("quiet", 10.8))
+        self.assertIs(states.DEAD, self.second.state("quiet", 11.7))
+
+
 class DigestTest(testtools.TestCase):
     def test_message_size_does_not_grow_with_data_centres(self):
         sizes = []
