Task leases outlive a change of shard owner

Cause: a lease counts from the worker's response to the sync before, so of a lease of 6 s renewed each 2 s only 2 to 4 s are left when an owner dies. With a session lease of 3 s a takeover takes up to 4.3 s. The interval did not depend on the leases, nor did the check of settings know it.

Change: decisions.takeover has the longest takeover and derives the sync interval from it: 0.65 s instead of 2 s at leases of 3 and 6 s, 2 s as before at 5 and 11 s. A task lease below what a takeover needs is refused at the start; that is new below a session lease of 2.1 s.

--- a/packages/wisterialug-core/src/wisterialug_core/decisions/sessions.py
+++ b/packages/wisterialug-core/src/wisterialug_core/decisions/sessions.py
@@ -20,6 +20,11 @@
 DRIFT_MARGIN_RATIO = 0.1
 
 
+def lapse_after_s(lease_s: float) -> float:
+    """Returns how long an observer must see no renewal of a session."""
+    return lease_s * (1 + DRIFT_MARGIN_RATIO)
+
+
 @dataclasses.dataclass
 class OwnSession:
     """The session that this VM holds."""
@@ -54,7 +59,7 @@
     """Detects sessions that their holders no longer renew."""
 
     def __init__(self, lease_s: float) -> None:
-        self._lapse_after_s = lease_s * (1 + DRIFT_MARGIN_RATIO)
+        self._lapse_after_s = lapse_after_s(lease_s)
         self._seen: dict[ids.SessionId, _Observation] = {}
         self._last_read: float | None = None
 
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/application.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/application.py
@@ -12,7 +12,7 @@
 
 import eventlet
 
-from wisterialug_core.decisions import membership, roster
+from wisterialug_core.decisions import membership, roster, takeover
 from wisterialug_core.schema import peer_pb2
 from wisterialug_daemon import (
     background,
@@ -41,7 +41,6 @@
 MS_PER_HOUR = 3_600_000
 SLOT_GRANT_S = 3.0
 SWEEP_INTERVAL_S = 60.0
-WATCH_INTERVAL_S = 0.5
 SLOT_SHARES_INTERVAL_S = 0.4
 DISPATCH_INTERVAL_S = 0.1
 DRAIN_POLL_INTERVAL_S = 0.05
@@ -160,7 +159,11 @@
             cfg.data_centre,
             cfg.placement_policy,
             cfg.task_lease_s,
-            cfg.worker_sync_interval_s,
+            takeover.renewal_interval_s(
+                cfg.task_lease_s,
+                cfg.session_lease_s,
+                cfg.worker_sync_interval_s,
+            ),
             cfg.service_target_ratio,
             self._table,
             self._workers,
@@ -273,8 +276,8 @@
             (cfg.heartbeat_interval_s, self._exchange),
             (cfg.config_poll_interval_s, self._config.poll),
             (renew_s, self._presence.renew),
-            (WATCH_INTERVAL_S, self._presence.watch),
-            (WATCH_INTERVAL_S, self._shards.update),
+            (takeover.WATCH_INTERVAL_S, self._presence.watch),
+            (takeover.WATCH_INTERVAL_S, self._shards.update),
             (SLOT_SHARES_INTERVAL_S, self._presence.update_shares),
             (DISPATCH_INTERVAL_S, self._queues.dispatch_all),
             (SWEEP_INTERVAL_S, self._idempotency.sweep),
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/settings_check.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/settings_check.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from wisterialug_core import errors, settings
+from wisterialug_core.decisions import takeover
 
 if TYPE_CHECKING:
     from wisterialug_core.schema import settings_pb2
@@ -18,13 +19,16 @@
 def check(cfg: settings_pb2.DaemonSettings) -> list[errors.SettingError]:
     """Returns one error for each setting that conflicts with others."""
     found = []
-    minimum = TASK_LEASES_PER_SESSION_LEASE * cfg.session_lease_s
+    minimum = max(
+        TASK_LEASES_PER_SESSION_LEASE * cfg.session_lease_s,
+        takeover.shortest_task_lease_s(cfg.session_lease_s),
+    )
     if cfg.task_lease_s < minimum:
         found.append(
             _error(
                 cfg,
                 "task_lease_s",
-                f"{minimum:g} s or more, twice --session-lease-s,"
+                f"{minimum:g} s or more,"
                 " so that tasks outlive a change of shard owner",
             )
         )
--- a/tests/test_daemon/test_settings_check.py
+++ b/tests/test_daemon/test_settings_check.py
@@ -46,6 +46,13 @@
                 ["--" + name.replace("_", "-")], [e.name for e in errors]
             )
 
+    def test_short_task_lease_must_outlive_a_takeover(self):
+        settings = _settings(session_lease_s=1, task_lease_s=2.5)
+        names = [error.name for error in settings_check.check(settings)]
+        self.assertEqual(["--task-lease-s"], names)
+        settings = _settings(session_lease_s=1, task_lease_s=3.1)
+        self.assertEqual([], settings_check.check(settings))
+
 
 class StartupTest(testtools.TestCase):
     def test_startup_reports_all_invalid_settings(self):
