A request that may have run is told "not run" once a retry is refused

What callers saw: a GET, or a request to an idempotent service, got outcome not-run (503, with Retry-After) although an instance or another entry VM had received it and may have run it. docs/callers.md promises that not-run was surely not run.

Cause: the router kept only the response of the last attempt. An attempt without a response is followed by a retry; where that one found no slot, no connection or a refusal, its not-run replaced the unknown of the attempt before. Requests that must not be repeated end with the first unknown and were not concerned.

Evidence: four of the nine new tests failed before, each with not-run for unknown: no slot, no connection or refused, forwarded to a peer that did not answer, and the response of a peer to a forwarded request.

Change: an attempt without a response is kept and is the outcome unless a later attempt is done.

--- a/packages/wisterialug-daemon/src/wisterialug_daemon/router.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/router.py
@@ -163,11 +163,16 @@
     # Running.
 
     def _run(self, req: messages.CallerRequest) -> messages.CallerResponse:
-        """Sends a request to an instance or a peer, with retries."""
+        """Sends a request to an instance or a peer, with retries.
+
+        Once an attempt may have run the request, failures of later ones don't
+        make it "not run".
+        """
         self._retry_budget.record_first_attempt()
         service = (req.customer, req.service)
         tried: tuple[str, ...] = ()
         response = None
+        unknown = None
         for attempt in range(MAX_ATTEMPTS):
             if attempt and not self._may_retry(req, response):
                 break
@@ -182,12 +187,15 @@
                     exclude=tried,
                 )
                 if slot.is_err():
-                    return self._refusal_response(req, slot.err_value)
+                    response = self._refusal_response(req, slot.err_value)
+                    break
                 response = self._send(req, slot.ok_value)
                 tried += (slot.ok_value.instance.id,)
             if response.outcome is messages.Outcome.DONE:
-                break
-        return response
+                return response
+            if response.outcome is messages.Outcome.UNKNOWN:
+                unknown = response
+        return unknown or response
 
     def _may_retry(
         self, req: messages.CallerRequest, last: messages.CallerResponse
