A shard stalls if a commit is written in an outage and its response is lost

What callers saw: no task of the shard starts or ends any more, also of jobs submitted later; the owner keeps its session, so no other VM takes over. And a request with an idempotency key that was refused as not run while the table did not respond is answered outcome-unknown when it is sent again, and never runs.

Cause: TableClient.commit reads back after a conflict only if a try of the same call had no response. The owner repeats a commit without an outcome in a new call, which forgot the calls before it: the conflict with its own write was taken for certain not to be written. The starts were undone in memory, and each commit after that conflicted, since the recorded versions of the chunks were newer than the owner's. The store of idempotency records repeats a write in the same way to withdraw it, and left the record where the write had taken effect.

In the store's test the second request was answered unknown in place of done.

Change: the caller of commit says that it repeats a transaction, and a conflict is then read back.

--- a/packages/wisterialug-daemon/src/wisterialug_daemon/adapters/table.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/adapters/table.py
@@ -239,6 +239,7 @@
         retry_timeout_s: float,
         *,
         urgent: bool = False,
+        repeated: bool = False,
     ) -> result.Result[int, errors.TableError]:
         """Commits, and determines the outcome if no response came.
 
@@ -246,6 +247,8 @@
           transaction: What to write.
           retry_timeout_s: Seconds to retry after a failure.
           urgent: Whether the call may use the reserve of the budget.
+          repeated: Whether an earlier call may have written the transaction,
+            so that a conflict does not show that it had no effect.
 
         Returns:
           The new version, TableConflictError or TableUnreachableError if
@@ -254,7 +257,7 @@
         """
         deadline = self._clock() + retry_timeout_s
         backoff_s = FIRST_BACKOFF_S
-        unknown = False
+        unknown = repeated
         while True:
             outcome = self._call(
                 "write", urgent, lambda: self._service.commit(transaction)
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/idempotency_store.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/idempotency_store.py
@@ -176,7 +176,9 @@
         self, row_key: str, transaction: table_lib.Transaction
     ) -> None:
         """Repeats an unanswered record write, then deletes the record."""
-        outcome = self._table.commit(transaction, RECORD_RETRY_TIMEOUT_S)
+        outcome = self._table.commit(
+            transaction, RECORD_RETRY_TIMEOUT_S, repeated=True
+        )
         if outcome.is_ok():
             self._delete(row_key, outcome.ok_value)
         else:
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/shard_runner.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/shard_runner.py
@@ -74,6 +74,8 @@
         self._loaded = False
         self._pending_commit: task_registry.Commit | None = None
         self._pending_transaction: table_lib.Transaction | None = None
+        # Whether the pending commit was called before, without an outcome.
+        self._commit_repeated = False
         self._threads: list[eventlet.greenthread.GreenThread] = []
         self._sync_loops: dict[str, eventlet.greenthread.GreenThread] = {}
         self._syncs_in_flight: set[str] = set()
@@ -189,12 +191,16 @@
         if self._pending_commit is None:
             return False
         self._pending_transaction = self._transaction(self._pending_commit)
+        self._commit_repeated = False
         return True
 
     def _write_commit(self) -> None:
         """Writes the pending commit; keeps it if the table is unavailable."""
         commit, transaction = self._pending_commit, self._pending_transaction
-        outcome = self._table.commit(transaction, COMMIT_RETRY_S, urgent=True)
+        repeated, self._commit_repeated = self._commit_repeated, True
+        outcome = self._table.commit(
+            transaction, COMMIT_RETRY_S, urgent=True, repeated=repeated
+        )
         if outcome.is_ok():
             self._pending_commit = None
             for chunk in commit.chunks:
