A shard stalls if a lost task's success is reported during the job's last commit

What callers saw: no task of the shard starts or ends any more. A task that must not be repeated was given up as unknown once its lease had expired, its job's last commit waited for the table, and the worker came back first and reported the task as done.

Cause: the runner forgot the version of a chunk as soon as a commit with its end was written, but the late success had changed the chunk again, so that it stayed loaded. The next transaction raised KeyError, after the new commit had been paired with the transaction before it.

Evidence: test_shard_goes_on_after_success_reported_during_the_last_commit failed with KeyError: ('j', 0) in _transaction.

Change: the version is forgotten with the chunk; a commit becomes pending together with its own transaction.

--- a/packages/wisterialug-daemon/src/wisterialug_daemon/shard_runner.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/shard_runner.py
@@ -187,10 +187,11 @@
         """Collects all changes in one commit; returns False if none."""
         if self._presence.session.valid(time.monotonic()):
             self.scheduler.plan(time.monotonic(), int(time.time() * 1000))
-        self._pending_commit = self.scheduler.next_commit()
-        if self._pending_commit is None:
+        commit = self.scheduler.next_commit()
+        if commit is None:
             return False
-        self._pending_transaction = self._transaction(self._pending_commit)
+        self._pending_transaction = self._transaction(commit)
+        self._pending_commit = commit
         self._commit_repeated = False
         return True
 
@@ -206,10 +207,12 @@
             for chunk in commit.chunks:
                 key = (chunk.job, chunk.number)
                 self._chunk_versions[key] = outcome.ok_value
-            for key in commit.finished:
-                self._marker_versions.pop(key, None)
-                self._chunk_versions.pop(key, None)
             self.scheduler.commit_done(commit)
+            for key in commit.finished:
+                # A late success may have changed the chunk once more.
+                if not self.scheduler.has_chunk(key):
+                    self._marker_versions.pop(key, None)
+                    self._chunk_versions.pop(key, None)
             self._count_tasks(commit)
             self._sync_started(commit)
         elif isinstance(outcome.err_value, errors.TableConflictError):
--- a/tests/test_daemon/shard_base.py
+++ b/tests/test_daemon/shard_base.py
@@ -119,8 +119,9 @@
         self.runner._sync(worker)
 
     def work(self, rounds=1):
-        """Polls, plans, commits and syncs all workers."""
+        """Polls, plans, commits and syncs all workers, once a second."""
         for _ in range(rounds):
+            self.seconds += 1.0
             self.runner.poll()
             self.runner._plan_and_commit()
             eventlet.sleep(0)
