A task runs twice if its worker restarts before its start and the start is late

What callers saw: two runs of one task at once, on two workers, of one owner.

Cause: a start is recorded for the worker's incarnation at the time of the plan. If the worker restarted while the commit was under way, the start was sent to the next incarnation all the same. An attempt that a report lacks counts as lost when the reporting incarnation isn't the recorded one, although a start to it was still on its way: the one request after it had no starts, since the session had lapsed for a moment.

Evidence: test_task_runs_twice_if_its_worker_restarts_before_its_start failed in no_task_runs_twice_at_once: ['j1/0', 'j1/0'].

Change: a start whose worker has restarted since the plan is undone once its commit is durable, before it is sent; the task is placed again.

--- a/packages/wisterialug-core/src/wisterialug_core/decisions/shard.py
+++ b/packages/wisterialug-core/src/wisterialug_core/decisions/shard.py
@@ -149,7 +149,7 @@
             if attempt and attempt.stage is worker_record.AttemptStage.PLANNED:
                 attempt.stage = worker_record.AttemptStage.COMMITTED
                 self._tasks.counters.starts += 1
-                if attempt.stopping:
+                if attempt.stopping or self._has_restarted(worker, key):
                     self._undo_start(worker, key)
         for worker, key in commit.ends:
             self._tasks.uncommitted_ends.discard(key)
@@ -178,6 +178,17 @@
         for worker, key in planned:
             self._undo_start(worker, key)
 
+    def _has_restarted(
+        self, worker: str, key: worker_record.AttemptKey
+    ) -> bool:
+        """Returns whether a worker has restarted since a start was planned.
+
+        Only the recorded incarnation may be sent the start: a report of another
+        one that lacks the attempt ends it.
+        """
+        planned = self._tasks.tasks[key.task].worker_incarnation
+        return planned != self._pool.records[worker].incarnation
+
     def _undo_start(self, worker: str, key: worker_record.AttemptKey) -> None:
         record = self._pool.records.get(worker)
         if record is None or key not in record.held:
