A shard stays without an owner if the response to its claim is lost

What callers saw: no task of the shard starts or ends any more, until the VM that the table names as its owner is restarted.

Cause: a claim that was written in an outage, and whose response was lost, was taken for not written. The VM then found the shard owned by its own session, which it keeps alive, and neither ran nor claimed it; nor did any other VM.

Evidence: test_shard_is_claimed_again_after_claim_without_response failed: the VM did not claim the shard again.

Change: a VM claims each shard that it does not run and that is recorded as its own. The claim has a new epoch and the row's version as condition, so that the earlier one can't take effect after it.

--- a/packages/wisterialug-daemon/src/wisterialug_daemon/presence.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/presence.py
@@ -260,7 +260,11 @@
     # Shards.
 
     def claimable(self, shards: set[str]) -> list[str]:
-        """Returns the shards that this VM should try to claim now."""
+        """Returns the shards that this VM should try to claim now.
+
+        Args:
+          shards: Shards that this VM does not run.
+        """
         now = time.monotonic()
         if self._leaving or not self.session.valid(now):
             return []
@@ -283,7 +287,8 @@
         if current is None or not current[1].session:
             return True
         session = current[1].session
-        if current[1].vm == self._own_vm and session != self._session_id:
+        if current[1].vm == self._own_vm:
+            # Owned by an earlier session, or claimed without a response.
             return True
         row = self._session_rows.get(session)
         return row is None or row[1].ended or self._watch.lapsed(session, now)
@@ -313,6 +318,7 @@
             return None
         logs.event("shard-taken", shard=shard, epoch=new_owner.epoch)
         self.shard_rows[shard] = (outcome.ok_value, new_owner)
+        self._unowned_since.pop(shard, None)
         return new_owner.epoch, outcome.ok_value
 
     def release_shard(self, shard: str, version: int, epoch: int) -> None:
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/shards.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/shards.py
@@ -62,9 +62,10 @@
                 runner.stop()
                 del self.runners[shard]
         by_shard = self._workers_by_shard()
-        for shard in self._presence.claimable(set(by_shard)):
-            if shard not in self.runners:
-                self._claim(shard)
+        for shard in self._presence.claimable(
+            by_shard.keys() - self.runners.keys()
+        ):
+            self._claim(shard)
         drained = self._config.state.drained("worker")
         for shard, runner in self.runners.items():
             runner.set_workers(by_shard.get(shard, []), drained)
