A VM gives up its session if the response to a renewal is lost

What callers saw: after an outage of the table a VM drops all its shards and its slots and begins a new session, with session-ended-by-another-vm in its log, although no VM had ended it.

Cause: each renewal is a transaction of its own, with the version of the renewal before as its condition. A renewal that was written in the outage, and whose response was lost, made the next one conflict, and a conflict was taken for the end of the session by another VM.

Change: after a conflict the row tells: a session that is not ended goes on with the row's version, and while the row can't be read it is neither renewed nor ended. Its lease still counts from the last renewal with a response.

--- a/packages/wisterialug-daemon/src/wisterialug_daemon/presence.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/presence.py
@@ -85,10 +85,24 @@
             self._own_version = outcome.ok_value
             self.session.mark_renewed(sent_at)
         elif isinstance(outcome.err_value, errors.TableConflictError):
-            self.session.mark_ended()
-            logs.warning(
-                "session-ended-by-another-vm", session=self._session_id
-            )
+            self._check_session_row()
+
+    def _check_session_row(self) -> None:
+        """Ends the session if its row says so.
+
+        Otherwise an earlier renewal, which got no response, was written.
+        """
+        row = self._table.read_one(
+            self._session_key(self._session_id), urgent=True
+        )
+        if row.is_err():
+            return
+        value = row.ok_value.value
+        if value is not None and not work_pb2.Session.FromString(value).ended:
+            self._own_version = row.ok_value.version
+            return
+        self.session.mark_ended()
+        logs.warning("session-ended-by-another-vm", session=self._session_id)
 
     def _begin_session(self) -> None:
         self._session_id = secrets.token_hex(8)
--- a/tests/test_daemon/test_presence_machine.py
+++ b/tests/test_daemon/test_presence_machine.py
@@ -62,6 +62,13 @@
             ]
         )
 
+    def read_one(self, key, *, urgent=False):
+        del urgent
+        if self.down:
+            return result.Err(errors.TableUnreachableError("down"))
+        version, value = self.table.rows.get(key, (0, None))
+        return result.Ok(table_lib.Row(key, version, b"", value))
+
     def commit(self, transaction, retry_timeout_s, *, urgent=False):
         del retry_timeout_s, urgent
         if self.down:
