A shard stalls if rows of a job are read late, after its end

What callers saw: no task of the shard starts or ends any more.

Cause: a wake polls the table beside the poll under way. If the response with a job's rows came late to one of them, the other had loaded the job, its tasks had ended and the chunk had been unloaded; the old rows were then loaded as new, with a version that the table no longer has, and each commit of the shard conflicted. No task ran twice, since the same condition keeps their starts from being recorded.

Change: polls of a shard run one after another. Only a poll loads chunks, and only their owner writes them once they are loaded.

--- a/packages/wisterialug-daemon/src/wisterialug_daemon/shard_runner.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/shard_runner.py
@@ -7,6 +7,7 @@
 
 import eventlet
 import eventlet.greenthread
+import eventlet.semaphore
 from absl import logging
 
 from wisterialug_core.schema import work_pb2
@@ -72,6 +73,8 @@
         self._marker_versions: dict[tuple[str, int], int] = {}
         self._chunk_versions: dict[tuple[str, int], int] = {}
         self._loaded = False
+        # Rows read by one poll may be out of date once another has loaded them.
+        self._polling = eventlet.semaphore.Semaphore()
         self._pending_commit: task_registry.Commit | None = None
         self._pending_transaction: table_lib.Transaction | None = None
         # Whether the pending commit was called before, without an outcome.
@@ -120,6 +123,10 @@
 
     def poll(self) -> None:
         """Loads new chunks and applies cancellations."""
+        with self._polling:
+            self._poll()
+
+    def _poll(self) -> None:
         rows = self._table.scan(marker_prefix(self.scheduler.shard))
         if rows.is_err():
             return
--- a/tests/test_daemon/memory_table.py
+++ b/tests/test_daemon/memory_table.py
@@ -14,6 +14,7 @@
     Attributes:
       lost_answers: Commits to carry out without a response.
       silent_calls: Calls after these that have no effect and no response.
+      next_read_event: What the response to the next read waits for, or None.
     """
 
     def __init__(self):
@@ -21,11 +22,16 @@
         self.version = 0
         self.lost_answers = 0
         self.silent_calls = 0
+        self.next_read_event = None
 
     def read(self, keys):
         if self._silent():
             return UNANSWERED
-        return result.Ok([self._row(key) for key in keys])
+        rows = [self._row(key) for key in keys]
+        event, self.next_read_event = self.next_read_event, None
+        if event is not None:
+            event.wait()
+        return result.Ok(rows)
 
     def scan(self, prefix, after, limit):
         if self._silent():
