Merge: calls without an answer in the product's own path

One task that ran twice, one request told not-run that may have run, and five shards or sessions that were dropped or stalled after a call without an answer; each with a test that failed before.

--- a/packages/wisterialug-daemon/src/wisterialug_daemon/presence.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/presence.py
@@ -85,10 +85,24 @@
             self._own_version = outcome.ok_value
             self.session.mark_renewed(sent_at)
         elif isinstance(outcome.err_value, errors.TableConflictError):
-            self.session.mark_ended()
-            logs.warning(
-                "session-ended-by-another-vm", session=self._session_id
-            )
+            self._check_session_row()
+
+    def _check_session_row(self) -> None:
+        """Ends the session if its row says so.
+
+        Otherwise an earlier renewal, which got no response, was written.
+        """
+        row = self._table.read_one(
+            self._session_key(self._session_id), urgent=True
+        )
+        if row.is_err():
+            return
+        value = row.ok_value.value
+        if value is not None and not work_pb2.Session.FromString(value).ended:
+            self._own_version = row.ok_value.version
+            return
+        self.session.mark_ended()
+        logs.warning("session-ended-by-another-vm", session=self._session_id)
 
     def _begin_session(self) -> None:
         self._session_id = secrets.token_hex(8)
@@ -260,7 +274,11 @@
     # Shards.
 
     def claimable(self, shards: set[str]) -> list[str]:
-        """Returns the shards that this VM should try to claim now."""
+        """Returns the shards that this VM should try to claim now.
+
+        Args:
+          shards: Shards that this VM does not run.
+        """
         now = time.monotonic()
         if self._leaving or not self.session.valid(now):
             return []
@@ -283,7 +301,8 @@
         if current is None or not current[1].session:
             return True
         session = current[1].session
-        if current[1].vm == self._own_vm and session != self._session_id:
+        if current[1].vm == self._own_vm:
+            # Owned by an earlier session, or claimed without a response.
             return True
         row = self._session_rows.get(session)
         return row is None or row[1].ended or self._watch.lapsed(session, now)
@@ -313,6 +332,7 @@
             return None
         logs.event("shard-taken", shard=shard, epoch=new_owner.epoch)
         self.shard_rows[shard] = (outcome.ok_value, new_owner)
+        self._unowned_since.pop(shard, None)
         return new_owner.epoch, outcome.ok_value
 
     def release_shard(self, shard: str, version: int, epoch: int) -> None:
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/shard_runner.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/shard_runner.py
@@ -7,6 +7,7 @@
 
 import eventlet
 import eventlet.greenthread
+import eventlet.semaphore
 from absl import logging
 
 from wisterialug_core.schema import work_pb2
@@ -72,8 +73,12 @@
         self._marker_versions: dict[tuple[str, int], int] = {}
         self._chunk_versions: dict[tuple[str, int], int] = {}
         self._loaded = False
+        # Rows read by one poll may be out of date once another has loaded them.
+        self._polling = eventlet.semaphore.Semaphore()
         self._pending_commit: task_registry.Commit | None = None
         self._pending_transaction: table_lib.Transaction | None = None
+        # Whether the pending commit was called before, without an outcome.
+        self._commit_repeated = False
         self._threads: list[eventlet.greenthread.GreenThread] = []
         self._sync_loops: dict[str, eventlet.greenthread.GreenThread] = {}
         self._syncs_in_flight: set[str] = set()
@@ -118,6 +123,10 @@
 
     def poll(self) -> None:
         """Loads new chunks and applies cancellations."""
+        with self._polling:
+            self._poll()
+
+    def _poll(self) -> None:
         rows = self._table.scan(marker_prefix(self.scheduler.shard))
         if rows.is_err():
             return
@@ -185,25 +194,32 @@
         """Collects all changes in one commit; returns False if none."""
         if self._presence.session.valid(time.monotonic()):
             self.scheduler.plan(time.monotonic(), int(time.time() * 1000))
-        self._pending_commit = self.scheduler.next_commit()
-        if self._pending_commit is None:
+        commit = self.scheduler.next_commit()
+        if commit is None:
             return False
-        self._pending_transaction = self._transaction(self._pending_commit)
+        self._pending_transaction = self._transaction(commit)
+        self._pending_commit = commit
+        self._commit_repeated = False
         return True
 
     def _write_commit(self) -> None:
         """Writes the pending commit; keeps it if the table is unavailable."""
         commit, transaction = self._pending_commit, self._pending_transaction
-        outcome = self._table.commit(transaction, COMMIT_RETRY_S, urgent=True)
+        repeated, self._commit_repeated = self._commit_repeated, True
+        outcome = self._table.commit(
+            transaction, COMMIT_RETRY_S, urgent=True, repeated=repeated
+        )
         if outcome.is_ok():
             self._pending_commit = None
             for chunk in commit.chunks:
                 key = (chunk.job, chunk.number)
                 self._chunk_versions[key] = outcome.ok_value
-            for key in commit.finished:
-                self._marker_versions.pop(key, None)
-                self._chunk_versions.pop(key, None)
             self.scheduler.commit_done(commit)
+            for key in commit.finished:
+                # A late success may have changed the chunk once more.
+                if not self.scheduler.has_chunk(key):
+                    self._marker_versions.pop(key, None)
+                    self._chunk_versions.pop(key, None)
             self._count_tasks(commit)
             self._sync_started(commit)
         elif isinstance(outcome.err_value, errors.TableConflictError):
