A run whose start is open does not wait for ever for its stop

What callers would see: a task that waits as long as its worker answers reports but turns every order away.

Change: each start carries a deadline, a lease ahead, and the worker rejects it afterwards. A report that was asked for after the worker's clock had passed the deadlines of all orders for a run, and that does not list it, ends the run.

--- a/packages/wisterialug-core/src/wisterialug_core/workflow/run_proofs.py
+++ b/packages/wisterialug-core/src/wisterialug_core/workflow/run_proofs.py
@@ -19,6 +19,8 @@
     NO_OPEN_START = "not started"
     # The worker rejects starts of a run that it was told to stop.
     STOP_ACKNOWLEDGED = "stopped before it began"
+    # The worker rejects a start after its deadline.
+    DEADLINE_PASSED = "start deadline passed"
     # The worker knew the run, and a later report does not list it.
     NO_LONGER_LISTED = "not in the report"
     # The worker has answered under a higher epoch without listing the run.
@@ -38,12 +40,15 @@
     Attributes:
       open: Orders that were sent and have no response; each may still be
         carried out.
+      deadline_ms: Latest deadline of the sent orders, by the worker's clock; 0
+        if none was sent.
       confirmed_s: When a response first showed that the worker knows the run.
       stop_acked_s: When the worker acknowledged a stop.
       earlier_epoch: An earlier owner sent the orders.
     """
 
     open: int = 0
+    deadline_ms: int = 0
     confirmed_s: float = 0.0
     stop_acked_s: float = 0.0
     earlier_epoch: bool = False
@@ -53,15 +58,21 @@
         """Returns whether the next report shows if a stopped run exists."""
         return self.stop_acked_s > 0 and not self.confirmed_s
 
+    def send(self, deadline_ms: int) -> None:
+        """Records an order that is about to be sent."""
+        self.open += 1
+        self.deadline_ms = max(self.deadline_ms, deadline_ms)
+
     def confirm(self, received_s: float) -> None:
         """Records a response which shows that the worker knows the run."""
         self.confirmed_s = self.confirmed_s or received_s
 
-    def absence(self, sent_s: float) -> Proof | None:
+    def absence(self, sent_s: float, clock_ms: int) -> Proof | None:
         """Returns what an absent run's absence from a report proves.
 
         Args:
           sent_s: When the report was asked for.
+          clock_ms: The worker's clock in its response before that.
 
         Returns:
           The proof, or None if the run may still begin.
@@ -72,4 +83,6 @@
             return Proof.EARLIER_EPOCH
         if 0 < self.stop_acked_s < sent_s:
             return Proof.STOP_ACKNOWLEDGED
+        if 0 < self.deadline_ms < clock_ms:
+            return Proof.DEADLINE_PASSED
         return None
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/dispatcher.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/dispatcher.py
@@ -120,7 +120,7 @@
             )
             self._owner.session(worker)
             orders = task.orders
-            orders.open += 1
+            orders.send(deadline_ms)
             outcome = self._owner.calls.start(
                 worker.report, order, ORDER_TIMEOUT_S
             )
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/worker_session.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/worker_session.py
@@ -156,6 +156,7 @@
             if draining or self.pacing.may_interfere():
                 wait_ms = SHORT_POLL_MS
         durable_seq = self._durable_seq()
+        clock_ms = worker.lease.clock_ms
         sent_s = clock.now_s()
         outcome = self._owner.calls.poll(
             worker.report,
@@ -169,7 +170,7 @@
             return
         if outcome.is_ok():
             self._acked_seq = max(self._acked_seq, durable_seq)
-            self._handle_report(outcome.ok_value)
+            self._handle_report(outcome.ok_value, clock_ms)
         else:
             self._handle_error(outcome.err_value, sent_s)
 
@@ -202,7 +203,10 @@
         confirmed_s = self._owner.rows.confirmed_s
         return worker.lease.grant(now_s, confirmed_s, length_ms)
 
-    def _handle_report(self, report: worker_calls.RunReport) -> None:
+    def _handle_report(
+        self, report: worker_calls.RunReport, clock_ms: int
+    ) -> None:
+        """Handles a report; `clock_ms` is from the response before it."""
         worker = self.worker
         reply = report.reply
         worker.lease.record_clock(reply.clock_ms, reply.received_s)
@@ -216,7 +220,7 @@
             self._owner.wake()
         self._update_running(report)
         self._process_ends(report)
-        self._detect_lost(report)
+        self._detect_lost(report, clock_ms)
         if not worker.fenced:
             worker.fenced = True
             # An earlier owner may have extended the lease just before.
@@ -333,7 +337,9 @@
                 until_s=round(health.aside_until_s - now_s, 3),
             )
 
-    def _detect_lost(self, report: worker_calls.RunReport) -> None:
+    def _detect_lost(
+        self, report: worker_calls.RunReport, clock_ms: int
+    ) -> None:
         """Marks unlisted runs as lost that certainly do not begin later."""
         if len(report.ended) >= MAX_LISTED_ENDS:
             return
@@ -342,7 +348,7 @@
             task = self._owner.shard_jobs.task(key)
             if task is None or (task.name, task.run) in listed:
                 continue
-            proof = task.orders.absence(report.reply.sent_s)
+            proof = task.orders.absence(report.reply.sent_s, clock_ms)
             if proof is not None:
                 self._owner.end_run(task, model.RunEnd.LOST, "", proof)
 
--- a/tests/test_core/test_workflow/test_run_proofs.py
+++ b/tests/test_core/test_workflow/test_run_proofs.py
@@ -9,9 +9,11 @@
     """A report, asked for at 10 s, does not list a run."""
 
     ASKED_S = 10.0
+    CLOCK_MS = 5000
 
     def absence(self, **fields):
-        return run_proofs.StartOrders(**fields).absence(self.ASKED_S)
+        orders = run_proofs.StartOrders(**fields)
+        return orders.absence(self.ASKED_S, self.CLOCK_MS)
 
     def test_run_without_any_response_may_still_begin(self):
         self.assertIsNone(self.absence(open=2))
@@ -34,6 +36,18 @@
         proof = self.absence(earlier_epoch=True)
         self.assertIs(run_proofs.Proof.EARLIER_EPOCH, proof)
 
+    def test_worker_rejects_orders_after_their_deadline(self):
+        proof = self.absence(open=1, deadline_ms=4999)
+        self.assertIs(run_proofs.Proof.DEADLINE_PASSED, proof)
+        self.assertIsNone(self.absence(open=1, deadline_ms=5000))
+
+    def test_latest_deadline_counts(self):
+        orders = run_proofs.StartOrders()
+        orders.send(6000)
+        orders.send(4000)
+        self.assertEqual(2, orders.open)
+        self.assertIsNone(orders.absence(self.ASKED_S, self.CLOCK_MS))
+
     def test_first_sign_of_the_run_counts(self):
         orders = run_proofs.StartOrders()
         orders.confirm(9.0)
--- a/tests/test_daemon/test_workflow_orders.py
+++ b/tests/test_daemon/test_workflow_orders.py
@@ -23,11 +23,19 @@
     # The poll under way when the stop is acknowledged, and a half for the rest.
     MAX_WAIT_S = worker_session.LONG_POLL_MS / 1000 + 0.5
 
-    def run_with_faults(self, *faults):
-        """Starts a task with these faults; its next run is on another worker."""
+    def run_with_faults(self, *faults, later_faults=None):
+        """Starts a task with these faults; its next run is on another worker.
+
+        Args:
+          faults: Faults of the first starts.
+          later_faults: Shares of faults of the first worker's other orders.
+        """
         self.start_nodes(2, workers=1)
         self.fleet.order_delay_s = (self.ORDER_DELAY_S, self.ORDER_DELAY_S)
         self.fleet.next_start_faults.extend(faults)
+        worker = self.fleet.workers["w0"]
+        worker.fault_rates = later_faults or {}
+        worker.poll_fault_rates = {}
         job = self.submit(step(1))
         self.wait_for(lambda: not self.fleet.next_start_faults, 5)
         rejected_s = clock.now_s()
@@ -36,14 +44,22 @@
         self.wait_for_state(job, workflow_pb2.JOB_COMPLETED)
         eventlet.sleep(self.ORDER_DELAY_S)
         self.check_invariants()
-        waited_s = self.fleet.history[0].began_s - rejected_s
-        self.assertLess(waited_s, self.MAX_WAIT_S)
+        return self.fleet.history[0].began_s - rejected_s
 
     def test_task_runs_twice_if_the_repeated_start_is_refused(self):
-        self.run_with_faults(Fault.LATE, Fault.REFUSED)
+        waited_s = self.run_with_faults(Fault.LATE, Fault.REFUSED)
+        self.assertLess(waited_s, self.MAX_WAIT_S)
 
     def test_task_runs_twice_if_the_repeated_start_finds_no_room(self):
-        self.run_with_faults(Fault.LATE, Fault.NO_ROOM)
+        waited_s = self.run_with_faults(Fault.LATE, Fault.NO_ROOM)
+        self.assertLess(waited_s, self.MAX_WAIT_S)
+
+    def test_task_waits_for_ever_if_its_worker_refuses_to_stop_it(self):
+        waited_s = self.run_with_faults(
+            Fault.LOST, Fault.REFUSED, later_faults={Fault.REFUSED: 1.0}
+        )
+        lease_s = 4.0
+        self.assertLess(waited_s, lease_s + 2 * self.MAX_WAIT_S)
 
 
 class UncommittedEndTest(workflow_base.WorkflowTest):
