--- a/tests/test_daemon/test_worker_sessions.py
+++ b/tests/test_daemon/test_worker_sessions.py
@@ -29,6 +29,7 @@
         super().setUp()
         # Without greenlets; a session that polls stays running.
         self.owner = mock.Mock(lost=False)
+        self.owner.cfg.lease_ms = 4000
         self.table = self.owner.shard_workers = worker_table.WorkerTable()
         self.sessions = worker_sessions.WorkerSessions(self.owner)
 
