--- a/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/worker_session.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/worker_session.py
@@ -63,7 +63,7 @@
 
     @property
     def idle(self) -> bool:
-        """Returns whether the worker is not polled and has no open end."""
+        """Returns whether the worker is not polled and all its ends are durable."""
         return not self._running and not self._uncommitted
 
     def ensure_running(self) -> None:
@@ -114,12 +114,12 @@
     def _needed(self) -> bool:
         worker = self.worker
         absent = worker.report.state is model.WorkerState.ABSENT
-        lost = absent and self._silent_s() > self._owner.cfg.lease_ms / 1000
+        dead = absent and self._silent_s() > self._owner.cfg.lease_ms / 1000
         unacked = self._acked_seq < self._highest_seq
         return not worker.gone and bool(
             worker.runs
             or self._uncommitted
-            or (unacked and not lost)
+            or (unacked and not dead)
             or ((not worker.fenced or worker.silent_since_s) and not absent)
         )
 
@@ -206,7 +206,12 @@
     def _handle_report(
         self, report: worker_calls.RunReport, clock_ms: int
     ) -> None:
-        """Handles a report; `clock_ms` is from the response before it."""
+        """Handles a report.
+
+        Args:
+          report: The report.
+          clock_ms: The worker's clock in its response before that.
+        """
         worker = self.worker
         reply = report.reply
         worker.lease.record_clock(reply.clock_ms, reply.received_s)
