An owner gives its shard up though its workers answer other polls

Cause: one poll that failed counted as a cut.

Now only polls in a row without any response count (ownership.is_cut_off), and the poll after a failed one does not wait for an end, so that a cut is known after 2.9 s and a path that works is known at once.

--- a/packages/wisterialug-core/src/wisterialug_core/workflow/ownership.py
+++ b/packages/wisterialug-core/src/wisterialug_core/workflow/ownership.py
@@ -36,6 +36,12 @@
 CLAIM_STEP_S = 0.06
 # Candidates after this many do not wait longer than the last of them.
 MAX_CLAIM_RANK = 12
+# Polls in a row without a response after which a worker is out of reach: single
+# ones are lost, or carried out late, on a path that is not cut.
+UNREACHABLE_POLLS = 2
+# Share of unreachable workers at which the shard is released: another VM may
+# reach more of them.
+CUT_OFF_SHARE = 0.6
 
 
 def worker_capacity(vm: workflow_pb2.Member) -> int:
@@ -119,6 +125,18 @@
     return smallest if idle else None
 
 
+def is_cut_off(unanswered_polls: Collection[int]) -> bool:
+    """Returns whether a VM is cut off from most workers of its shard.
+
+    Args:
+      unanswered_polls: For each worker, how many of the latest polls in a row
+        had no response.
+    """
+    unreachable = sum(n >= UNREACHABLE_POLLS for n in unanswered_polls)
+    least = CUT_OFF_SHARE * len(unanswered_polls)
+    return bool(unanswered_polls) and unreachable >= least
+
+
 def count_owned(owners: Iterable[str]) -> dict[str, int]:
     """Counts the shards of each VM, from the IDs of all shards' owners."""
     counts: dict[str, int] = {}
--- a/packages/wisterialug-core/src/wisterialug_core/workflow/worker_table.py
+++ b/packages/wisterialug-core/src/wisterialug_core/workflow/worker_table.py
@@ -31,7 +31,9 @@
       reserved: Reservations of active runs, until their end is reported.
       long_running_reserved: The part of it that long-running tasks reserve.
       fill_millicores: Processor time that fill runs request.
-      silent_since_s: When the unanswered calls began; 0 if there are none.
+      silent_since_s: When the failed polls began; 0 if there are none.
+      unanswered_polls: Latest polls in a row without a response. A refused one
+        has a response.
       fenced: The worker has answered under this owner's epoch.
       kept_until_s: Until when its room is kept for tasks that go before
         long-running ones.
@@ -54,6 +56,7 @@
         default_factory=health.WorkerHealth
     )
     silent_since_s: float = 0.0
+    unanswered_polls: int = 0
     fenced: bool = False
     kept_until_s: float = 0.0
     gone: bool = False
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/owner.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/owner.py
@@ -13,6 +13,7 @@
     fill_interference,
     job_table,
     model,
+    ownership,
     step_placement,
     worker_table,
 )
@@ -55,9 +56,6 @@
 # A process that lost or released a shard does not claim it for this time.
 CLAIM_BACKOFF_S = 4.0
 PARTITION_CHECK_DELAY_S = 5.0
-# Share of unreachable workers at which the shard is released: another VM may
-# reach more of them.
-PARTITIONED_SHARE = 0.6
 
 
 class ShardOwner:
@@ -367,13 +365,13 @@
     def _is_partitioned(self, now_s: float) -> bool:
         if now_s - self.acquired_s < PARTITION_CHECK_DELAY_S:
             return False
-        listed = [
-            w
-            for w in self.shard_workers.workers.values()
-            if w.report.state is model.WorkerState.READY
-        ]
-        silent = sum(1 for w in listed if w.silent_since_s)
-        return bool(listed) and silent >= PARTITIONED_SHARE * len(listed)
+        return ownership.is_cut_off(
+            [
+                w.unanswered_polls
+                for w in self.shard_workers.workers.values()
+                if w.report.state is model.WorkerState.READY
+            ]
+        )
 
     def _release(self) -> None:
         """Commits pending changes and releases the shard."""
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/worker_session.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/worker_session.py
@@ -138,7 +138,8 @@
     def _poll(self) -> None:
         worker = self.worker
         if not worker.report.address:
-            self._wait_for_expiry()
+            self._check_expiry(clock.now_s())
+            eventlet.sleep(RETRY_INTERVAL_S)
             return
         if self._uncommitted:
             with eventlet.Timeout(COMMIT_WAIT_S, False):
@@ -149,6 +150,7 @@
             worker.fenced
             and not self._uncommitted
             and worker.runs
+            and not worker.silent_since_s
             and not self._awaits_absence()
         ):
             draining = worker.report.state is model.WorkerState.DRAINING
@@ -215,6 +217,7 @@
         worker = self.worker
         reply = report.reply
         worker.lease.record_clock(reply.clock_ms, reply.received_s)
+        worker.unanswered_polls = 0
         if worker.silent_since_s:
             logs.event(
                 "worker-answers-again",
@@ -369,16 +372,16 @@
             self._owner.lose("a worker has seen a higher epoch")
             return
         now_s = clock.now_s()
+        if isinstance(exc, errors.NoAnswerError):
+            worker.unanswered_polls += 1
+        else:
+            worker.unanswered_polls = 0
         if not worker.silent_since_s:
             worker.silent_since_s = sent_s
             logs.event("worker-silent", worker=worker.report.id, error=str(exc))
         self._check_expiry(now_s)
         eventlet.sleep(RETRY_INTERVAL_S)
 
-    def _wait_for_expiry(self) -> None:
-        self._check_expiry(clock.now_s())
-        eventlet.sleep(RETRY_INTERVAL_S)
-
     def _check_expiry(self, now_s: float) -> None:
         expiry_s = (
             self.worker.lease.latest_expiry_s()
--- a/tests/test_core/test_workflow/test_ownership.py
+++ b/tests/test_core/test_workflow/test_ownership.py
@@ -1,6 +1,7 @@
 """Tests of the number of shards and of the choice of their owners."""
 
 import collections
+import random
 
 import testtools
 
@@ -130,3 +131,28 @@
     def test_owners_are_counted_by_vm(self):
         counts = ownership.count_owned(["n0/a", "n1/b", "n0/a", ""])
         self.assertEqual({"n0": 2, "n1": 1}, counts)
+
+
+class CutOffTest(testtools.TestCase):
+    WORKERS = 33
+    # Share of polls without a response on days of late orders.
+    LOST = 0.4
+    ROUNDS = 2000
+
+    def test_lost_polls_do_not_cut_a_vm_off(self):
+        rng = random.Random(4104)
+        polls = [0] * self.WORKERS
+        for _ in range(self.ROUNDS):
+            for number in range(self.WORKERS):
+                lost = rng.random() < self.LOST
+                polls[number] = polls[number] + 1 if lost else 0
+            self.assertFalse(ownership.is_cut_off(polls))
+
+    def test_vm_that_reaches_few_workers_is_cut_off(self):
+        reached = int(0.4 * self.WORKERS)
+        for unanswered, cut_off in ((1, False), (2, True)):
+            polls = [0] * reached + [unanswered] * (self.WORKERS - reached)
+            self.assertEqual(cut_off, ownership.is_cut_off(polls))
+
+    def test_vm_without_workers_is_not_cut_off(self):
+        self.assertFalse(ownership.is_cut_off([]))
