A cancelled lasting task starts again once its rows are removed

Cause: a task lent s0 -> s1 -> s0 leaves the rows loan:JOB:s0:s1 and loan:JOB:s1:s0. The job's shard removes its record and its rows while the loan back to it remains; the next owner meets that loan without a record and takes it for new.

Now a loan to a job's own shard counts only while the job's row is there: it is in the same part of the same inbox, written before any loan and removed last. The loan to the shard that lent the task back is removed with the job.

--- a/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/lender.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/lender.py
@@ -296,11 +296,13 @@
         """Returns the rows of a job's loans, to be removed with the job."""
         entry = self._jobs.jobs[job]
         lent_to = self._loans.lent_to(job)
-        # Those that have given all tasks back are among them.
+        # Those that have given all tasks back, or lent them back, are among them.
         results_from = self._results_from.get(job, set())
+        borrowers = lent_to | results_from
+        if entry.home:
+            borrowers |= entry.lenders
         refs = [
-            records.loan(job, self._shard, shard)
-            for shard in sorted(lent_to | results_from)
+            records.loan(job, self._shard, shard) for shard in sorted(borrowers)
         ]
         if entry.state != workflow_pb2.JOB_COMPLETED:
             refs += [records.cancel(job, shard) for shard in sorted(lent_to)]
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/owner.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/owner.py
@@ -174,7 +174,8 @@
         for job in content.inbox.jobs:
             self.shard_jobs.add(job)
         for loan in content.inbox.loans:
-            self.shard_jobs.add_borrowed(loan.job)
+            if not self._is_orphan(loan):
+                self.shard_jobs.add_borrowed(loan.job)
         for job, entry in list(self.shard_jobs.jobs.items()):
             progress = content.progress.get(job)
             if progress is not None:
@@ -209,7 +210,11 @@
         for job in inbox.jobs:
             self.shard_jobs.add(job)
         for loan in inbox.loans:
-            self._lender.borrow(loan)
+            if not self._is_orphan(loan):
+                self._lender.borrow(loan)
+                continue
+            ref = records.loan(loan.job.id, loan.from_shard, loan.to_shard)
+            self._recorder.orphans.append(ref)
         for loan_result in inbox.results:
             if loan_result.job not in self.shard_jobs.jobs:
                 # The job's rows were removed before this one was written.
@@ -227,6 +232,14 @@
             if self.shard_jobs.cancel(job, now_ms):
                 logs.event("job-cancelled", job=job, shard=self.rows.shard)
 
+    def _is_orphan(self, loan: workflow_pb2.Loan) -> bool:
+        """Returns whether a loan brings back tasks of a job that was removed.
+
+        Its job's own row is in the same inbox until the job is removed.
+        """
+        at_home = loan.job.shard == self.rows.shard
+        return at_home and loan.job.id not in self.shard_jobs.jobs
+
     def _adopt(self, task: model.Task) -> None:
         if task.worker not in self.shard_workers.workers:
             self.shard_workers.update(
--- /dev/null
+++ b/tests/test_daemon/test_returned_loans.py
@@ -0,0 +1,61 @@
+"""Loans of lasting tasks that come back to the shard of their job."""
+
+import eventlet
+
+from tests.test_daemon import workflow_base
+from wisterialug_daemon.workflow import records
+
+step = workflow_base.step
+# Leases of crashed workers end, and their tasks are lent.
+MOVE_TIMEOUT_S = 15
+# New owners start a waiting task well within this time.
+SETTLE_S = 3.0
+
+
+class ReturnedLoanTest(workflow_base.ShardsTestCase):
+    """A lasting task is lent by its shard, and lent back."""
+
+    duration_s = 60
+    state_kept_s = 1
+
+    def test_task_starts_again_long_after_its_job_was_cancelled(self):
+        self.start_shards()
+        job = self.submit(step(1, long_running=True))
+        self.wait_for(self.active_runs, MOVE_TIMEOUT_S)
+        home = self.jobs[job].shard
+        other = next(s for s in ("s0", "s1") if s != home)
+        for shard in (home, other):
+            self.replace_workers(shard)
+            self.wait_for(self.active_runs, MOVE_TIMEOUT_S)
+        self.assertEqual(home, self.shard_of(self.active_runs()[0].worker))
+        self.cancel(job)
+        self.wait_for(lambda: not self.active_runs(), 5)
+        ref = records.progress(home, job)
+        self.wait_for(lambda: self.store.value(ref) is None, 10)
+        started = len(self.fleet.history)
+        for name in list(self.nodes):
+            self.kill_node(name)
+        for name in ("n7", "n8"):
+            self.start_node(name)
+        self.wait_for(lambda: self.owned_shards() == 2, 10)
+        eventlet.sleep(SETTLE_S)
+        self.assertEqual(started, len(self.fleet.history))
+
+    def replace_workers(self, shard):
+        """Crashes a shard's workers; others join once the tasks have left."""
+        names = [w for w in self.fleet.workers if self.shard_of(w) == shard]
+        for name in names:
+            self.fleet.crash(name)
+        self.wait_for(self.active_runs, MOVE_TIMEOUT_S)
+        for name in names:
+            report = self.fleet.reports[name]
+            self.fleet.add(
+                f"{name}-next",
+                rack=report.rack,
+                data_centre=report.data_centre,
+            )
+        eventlet.sleep(SETTLE_S)
+
+    def shard_of(self, worker):
+        layout = self.any_node().election.layout
+        return records.shard_name(layout.shard_of(self.fleet.reports[worker]))
