A failed job runs for ever if a borrower's next owner reports less

Callers would see a job whose task has failed max_attempts times as running for ever, once its home shard and the borrowing shard both lose their owners before the result is read (all VMs lose power).

Cause: the record of an ended job kept only tasks that may run. The next owner of a borrower built its result from that record, without the failed and the done tasks, and wrote it over the row that the home shard had not read yet.

Now the record of a borrowed job keeps all tasks that were touched until the loan is gone.

test_failed_job_runs_for_ever_if_a_next_owner_reports_less failed before (3 != 1) and passes.

--- a/packages/wisterialug-core/src/wisterialug_core/workflow/job_table.py
+++ b/packages/wisterialug-core/src/wisterialug_core/workflow/job_table.py
@@ -260,10 +260,11 @@
         for tasks in entry.groups.values():
             for task in tasks:
                 # Of an ended job, only tasks that may run, here or in another
-                # shard, are kept.
+                # shard, are kept; of a borrowed one all, as its shard may not
+                # have read their results.
                 touched = task.run or task.loans
                 may_run = task.worker or task.lent_to
-                if touched and (may_run or not entry.final):
+                if touched and (may_run or not (entry.home and entry.final)):
                     message.tasks.append(job_entry.record_of(task))
         return message
 
--- a/tests/test_core/test_workflow/test_loans.py
+++ b/tests/test_core/test_workflow/test_loans.py
@@ -306,3 +306,17 @@
         self.run_task("s1", 1, model.RunEnd.FAILED)
         other = self.restored("s1", loan)
         self.assertEqual({}, other.jobs.open_jobs)
+
+    def test_failed_job_runs_for_ever_if_a_next_owner_reports_less(self):
+        first = self.lend("s0", "s1", 0)
+        second = self.lend("s0", "s1", 1)
+        task = self.run_task("s1", 1, model.RunEnd.LOST)
+        self.other.loans.give_back(task, NOW_MS)
+        self.run_task("s1", 0, model.RunEnd.FAILED)
+        self.run_task("s1", 0, model.RunEnd.FAILED)
+        # One row holds the results: the latest replaces those not read yet.
+        row = self.result()
+        row = self.restored("s1", first, second).loans.result("j") or row
+        self.home.loans.apply_result(row, NOW_MS)
+        state = self.home.jobs.jobs["j"].state
+        self.assertEqual(workflow_pb2.JOB_FAILED, state)
