A status from a relay hides a store call without an answer

Callers could be told 503 ("never runs") for a job that runs later (REFUSED), where the direct call to the store got no answer and is carried out seconds later, and the relay then answers with a status such as 507 or 404. It was found by review; no such answer to a change was seen.

Cause: PlatformStore._call returned the relay's response and forgot that an earlier attempt was open, and any status other than 200, 410 and 412 was taken for "not carried out".

--- a/tests/test_platform/test_store.py
+++ b/tests/test_platform/test_store.py
@@ -74,6 +74,17 @@
         )
         self.assertIsInstance(outcome.err_value, errors.StoreUnknownError)
 
+    def test_status_from_a_relay_hides_a_lost_response(self):
+        for status in (404, 507):
+            outcome = self.commit(
+                lambda address, status=status: (
+                    LOST if address == "store" else response(status)
+                )
+            )
+            self.assertIsInstance(
+                outcome.err_value, errors.StoreUnknownError, status
+            )
+
     def test_call_is_relayed_by_another_vm(self):
         outcome = self.commit(
             lambda address: {
