--- a/tests/test_daemon/test_workflow_orders.py
+++ b/tests/test_daemon/test_workflow_orders.py
@@ -109,6 +109,7 @@
     """Late, lost, repeated and refused orders in one run."""
 
     seed = int(os.environ.get("WISTERIALUG_ORDER_SEED", "63"))
+    VMS = 3
     WORKERS = 8
     JOBS = 14
     # Highest shares of the orders to a worker with faults.
@@ -130,7 +131,7 @@
     def test_random_orders(self):
         # Some arrive after their deadline, which is a lease away.
         self.fleet.order_delay_s = (0.5, 6.0)
-        self.start_nodes(3, workers=self.WORKERS)
+        self.start_nodes(self.VMS, workers=self.WORKERS)
         jobs = []
         for number in range(self.JOBS):
             jobs.append(self.submit(*self.random_steps()))
--- a/tests/test_daemon/workflow_base.py
+++ b/tests/test_daemon/workflow_base.py
@@ -31,7 +31,14 @@
     """The election and the intake of one VM."""
 
     def __init__(
-        self, name, store, fleet, boot="1", processors=1.0, state_kept_s=60
+        self,
+        name,
+        store,
+        calls,
+        registry,
+        boot="1",
+        processors=1.0,
+        state_kept_s=60,
     ):
         cfg = settings.WorkflowSettings(
             node=name,
@@ -44,7 +51,7 @@
         )
         self.members = members_of(name, store, processors)
         self.election = election.Election(
-            cfg, store, fleet, fleet, self.members
+            cfg, store, calls, registry, self.members
         )
         self.intake = intake.Intake(store, self.election)
         self.members.start()
@@ -108,11 +115,15 @@
         for number in range(count):
             self.start_node(f"n{number}")
 
+    def reach(self, name):
+        """Returns the store, workers and list as a VM reaches them."""
+        del name
+        return self.store, self.fleet, self.fleet
+
     def start_node(self, name, boot="1"):
         self.nodes[name] = Node(
             name,
-            self.store,
-            self.fleet,
+            *self.reach(name),
             boot,
             self.processors,
             self.state_kept_s,
