--- a/tests/test_daemon/test_workflow_links.py
+++ b/tests/test_daemon/test_workflow_links.py
@@ -4,19 +4,20 @@
 
 import eventlet
 
-from tests.test_daemon import test_workflow_orders
-from wisterialug_core.schema import workflow_pb2
+from tests.test_daemon import links_base, test_workflow_orders
+from wisterialug_core.workflow import model
 from wisterialug_daemon import logs
-from wisterialug_daemon.workflow import records
-from wisterialug_standins import frozen_greenlets, vm_links
+from wisterialug_standins import vm_links
 
 Cut = vm_links.Cut
 
 
-class RandomLinksTest(test_workflow_orders.RandomOrdersTest):
+class RandomLinksTest(
+    links_base.LinkedVmsTest, test_workflow_orders.RandomOrdersTest
+):
     """Random orders of owners that are frozen or cut off for a while."""
 
-    seed = int(os.environ.get("WISTERIALUG_ORDER_SEED", "71"))
+    seed = int(os.environ.get("WISTERIALUG_ORDER_SEED", "72"))
     VMS = 4
     JOBS = 20
     # Below the owner timeout of 1.7 s, and above the limit of 8 s for leases.
@@ -29,45 +30,21 @@
 
     def setUp(self):
         super().setUp()
-        self.links = {}
         # Links with a cut of their own.
         self.cut = set()
         # What all VMs but one lose in a split.
         self.hidden = {}
-        self.frozen = frozen_greenlets.FrozenGreenlets()
-        self.addCleanup(self.frozen.close)
 
     def run_s(self, task):
+        key = model.parse_task_name(task)
+        if self.jobs[key.job].steps[key.step].long_running:
+            # Longer than a split.
+            return 60.0
         return 0.2 + sum(task.encode()) % 50 / 10
 
-    def reach(self, name):
-        link = self.links[name]
-        return (
-            vm_links.LinkedStore(self.store, link),
-            vm_links.LinkedWorkers(self.fleet, link),
-            vm_links.LinkedRegistry(self.fleet, link),
-        )
-
     def start_node(self, name, boot="1"):
-        link = vm_links.VmLink(self.rng)
-        link.spawn = self.frozen.spawn_apart
-        link.worker_cuts = dict(self.hidden)
-        self.links[name] = link
-        with self.frozen.begin(link):
-            super().start_node(name, boot)
-
-    def kill_node(self, name):
-        super().kill_node(name)
-        del self.links[name]
-
-    def any_node(self):
-        """Returns a VM that answers its callers, if there is one."""
-        awake = [
-            name
-            for name, link in self.links.items()
-            if not link.frozen and not link.awaits_freeze
-        ]
-        return self.nodes[self.rng.choice(awake or list(self.links))]
+        super().start_node(name, boot)
+        self.links[name].worker_cuts = dict(self.hidden)
 
     def clear_faults(self):
         """Ends the faults of workers and waits until the links are whole."""
@@ -134,9 +111,7 @@
         ]
         if len(healthy) < 2:
             return None
-        row = self.store.value(records.owner(records.FIRST_SHARD)) or b""
-        ownership = workflow_pb2.Ownership.FromString(row)
-        owner = ownership.owner.rpartition("/")[0]
+        owner = self.recorded_owner()
         if owner in healthy and self.rng.random() < self.OWNER_SHARE:
             return owner
         return self.rng.choice(healthy)
