A daemon whose log nobody reads stands still

Operators would see: once the reader of standard output has stalled and the pipe is full, the VM logs nothing and each greenlet that logs stands still (heartbeats, roster, shards), though log lines are documented as dropped then.

Cause: the handler catches BlockingIOError of os.write, but the daemon's os is patched by eventlet, whose write waits until the descriptor takes data. The greenlet waits with the logging lock held, so all others that log wait for it.

Found while tracing test_killed_and_paused_entry_vms; its daemons log to files, so it is not the cause there.

Change: the handler uses the os module that is not patched.

test_stalled_reader_does_not_block_a_patched_process failed before the change (timed out after 20 s); the earlier test of a stalled reader does not patch os.

--- a/packages/wisterialug-daemon/src/wisterialug_daemon/log_stream.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/log_stream.py
@@ -4,13 +4,18 @@
 
 import json
 import logging as std_logging
-import os
 import time
 from typing import TYPE_CHECKING
 
+import eventlet.patcher
+
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+# Not patched by eventlet, whose write waits for the reader while the logging
+# lock is held, so that all greenlets that log would wait.
+_os = eventlet.patcher.original("os")
+
 # Rate and burst of the lines of one event; a busy VM of the users' largest
 # deployment accepts about 20 jobs a second.
 LINES_PER_S = 60.0
@@ -72,7 +77,7 @@
         self._limiter = limiter
         self._clock = clock
         self._buffer = b""
-        os.set_blocking(descriptor, False)
+        _os.set_blocking(descriptor, False)
 
     def emit(self, record: std_logging.LogRecord) -> None:
         """Writes a record, or counts it as dropped."""
@@ -94,7 +99,7 @@
 
     def _flush(self) -> None:
         try:
-            written = os.write(self._descriptor, self._buffer)
+            written = _os.write(self._descriptor, self._buffer)
         except BlockingIOError:
             return
         except OSError:
--- a/tests/test_daemon/test_log_stream.py
+++ b/tests/test_daemon/test_log_stream.py
@@ -3,11 +3,30 @@
 import json
 import logging
 import os
+import subprocess
+import sys
 
 import testtools
 
 from wisterialug_daemon import log_stream
 
+# Logs more than a pipe and the buffer hold, as the daemon does: patched.
+PATCHED_WRITER = """
+from wisterialug_daemon import hub
+hub.install()
+import logging, os
+from wisterialug_daemon import log_stream
+reader, writer = os.pipe()
+limiter = log_stream.LogRateLimiter(1e6, 1e6)
+log = logging.getLogger("test")
+log.propagate = False
+log.addHandler(log_stream.StreamHandler(writer, limiter))
+for _ in range(400):
+    log.error("x" * 4000)
+os._exit(0)
+"""
+PATCHED_TIMEOUT_S = 20
+
 
 class LogRateLimiterTest(testtools.TestCase):
     def test_each_event_has_its_own_budget(self):
@@ -78,3 +97,12 @@
         summary = json.loads(lines[-2])
         self.assertEqual("lines-left-out", summary["event"])
         self.assertEqual({"again": 320}, summary["lines"])
+
+    def test_stalled_reader_does_not_block_a_patched_process(self):
+        # eventlet's os.write waits until the reader has made room.
+        process = subprocess.run(
+            [sys.executable, "-W", "ignore", "-c", PATCHED_WRITER],
+            timeout=PATCHED_TIMEOUT_S,
+            check=False,
+        )
+        self.assertEqual(0, process.returncode)
