A failed integration test shows its answers and what its VMs do

The reasons of the answers that were not "done" were lost, as were the states of the processes: test_rolling_replacement_loses_no_request had one answer not-run without a reason, and test_killed_and_paused_entry_vms a VM that logged nothing more, of which nobody knows whether it was dead, stopped, busy or asleep.

A failure now shows each such answer (VM, status, reason, seconds) and of each daemon the exit code or state; one that gives no response is aborted, so that its stack is at the end of its log. The runner prints this for known red tests too.

--- a/packages/wisterialug-standins/src/wisterialug_standins/fleet.py
+++ b/packages/wisterialug-standins/src/wisterialug_standins/fleet.py
@@ -4,6 +4,7 @@
 
 import contextlib
 import json
+import os
 import pathlib
 import random
 import signal
@@ -253,6 +254,8 @@
             [sys.executable, "-m", "wisterialug_daemon", *daemon.args],
             stdout=log,
             stderr=subprocess.STDOUT,
+            # A daemon that hangs can be told to log its stack with SIGABRT.
+            env={**os.environ, "PYTHONFAULTHANDLER": "1"},
         )
         log.close()
         self._stack.callback(fleet_hosts.terminate, daemon.process)
--- a/packages/wisterialug-standins/src/wisterialug_standins/fleet_hosts.py
+++ b/packages/wisterialug-standins/src/wisterialug_standins/fleet_hosts.py
@@ -22,6 +22,8 @@
 LOCK_PORT = 8099
 UPSTREAM_PORT = 8100
 TOKEN = "operators-token"
+# What a failed test shows of /proc/PID/status.
+STATUS_LINES = ("State", "VmRSS", "SigPnd", "ShdPnd", "SigBlk")
 
 
 @dataclasses.dataclass(frozen=True)
@@ -77,6 +79,19 @@
     return ticks / os.sysconf("SC_CLK_TCK")
 
 
+def process_state(process: subprocess.Popen) -> str:
+    """Returns a process's exit code, or its state according to the kernel."""
+    if process.poll() is not None:
+        return f"exit code {process.returncode}"
+    try:
+        folder = pathlib.Path(f"/proc/{process.pid}")
+        lines = (folder / "status").read_text().splitlines()
+        shown = [line for line in lines if line.startswith(STATUS_LINES)]
+        return "\n".join([f"waits in {(folder / 'wchan').read_text()}", *shown])
+    except OSError as exc:
+        return f"unknown: {exc}"
+
+
 def vm_row(vm: str, role: str, dc: int, ip: str, port: int) -> dict:
     """Returns the entry of a VM in the VM list."""
     return {
--- a/tests/runner.py
+++ b/tests/runner.py
@@ -122,7 +122,7 @@
                 print(f"known red, passed this time: {test}")
             for test, text in outcome.failed.items():
                 if test in red:
-                    print(f"known red, failed: {test}")
+                    print(f"known red, failed: {test}\n{text}")
                     continue
                 failed += 1
                 print(f"FAILED {test}\n{text}")
--- a/tests/test_integration/base.py
+++ b/tests/test_integration/base.py
@@ -2,6 +2,7 @@
 
 import concurrent.futures
 import json
+import signal
 import time
 import uuid
 
@@ -19,6 +20,9 @@
 # Interval of readiness checks, well below balancer_lag_s of one second.
 READINESS_CHECK_INTERVAL_S = 0.2
 
+# A daemon that gives no response for so long after a failure hangs.
+HANG_TIMEOUT_S = 5.0
+
 
 class Response:
     """Outcome of one request, with the response if there was one."""
@@ -46,16 +50,40 @@
         self.addCleanup(self.fleet.close)
         self.addOnException(self._attach_logs)
         self.vms = list(self.fleet.daemons)
+        self._not_done = []
         self.apply_config()
 
     def _attach_logs(self, exc_info):
         del exc_info
+        self.addDetail(
+            "not-done",
+            testtools.content.text_content("\n".join(self._not_done[-40:])),
+        )
         for vm in self.vms:
+            state = self._daemon_state(vm)
+            self.addDetail(f"state-{vm}", testtools.content.text_content(state))
             text = self.fleet.log_text(vm)
             self.addDetail(
                 f"log-{vm}", testtools.content.text_content(text[-3000:])
             )
 
+    def _daemon_state(self, vm):
+        """Returns what a daemon's process does; one that hangs is aborted.
+
+        Its stack is then at the end of its log.
+        """
+        daemon = self.fleet.daemons[vm]
+        state = fleet_hosts.process_state(daemon.process)
+        try:
+            url = daemon.metrics_url + "/livez"
+            self.fleet.http.request("GET", url, timeout=HANG_TIMEOUT_S)
+        except urllib3.exceptions.HTTPError as exc:
+            state = f"no response: {exc}\n{state}"
+            if daemon.process.poll() is None:
+                self.fleet.signal_daemon(vm, signal.SIGABRT)
+                time.sleep(READINESS_CHECK_INTERVAL_S)
+        return state
+
     def apply_config(self):
         changes = [
             {
@@ -112,7 +140,19 @@
         body=None,
     ):
         """Sends one request; a lost connection counts as unknown."""
-        tag = tag or uuid.uuid4().hex
+        sent_s = time.monotonic()
+        response = self._send(
+            vm, method, tag or uuid.uuid4().hex, key, customer, timeout_ms, body
+        )
+        if response.outcome != "done":
+            seconds = time.monotonic() - sent_s
+            self._not_done.append(
+                f"{vm} {response.tag} {response.outcome} {response.status}"
+                f" after {seconds:.2f} s at {sent_s:.2f}: {response.body}"
+            )
+        return response
+
+    def _send(self, vm, method, tag, key, customer, timeout_ms, body):
         headers = {
             "Wisterialug-Customer": customer,
             "Wisterialug-Timeout-Ms": str(timeout_ms),
@@ -129,10 +169,10 @@
                 headers=headers,
                 timeout=timeout_ms / 1000 + 2,
             )
-        except urllib3.exceptions.NewConnectionError:
-            return Response(tag, "not-run", 0, b"", {})
-        except urllib3.exceptions.HTTPError:
-            return Response(tag, "unknown", 0, b"", {})
+        except urllib3.exceptions.NewConnectionError as exc:
+            return Response(tag, "not-run", 0, repr(exc).encode(), {})
+        except urllib3.exceptions.HTTPError as exc:
+            return Response(tag, "unknown", 0, repr(exc).encode(), {})
         return Response(
             tag,
             resp.headers.get("Wisterialug-Outcome", "unknown"),
@@ -161,6 +201,7 @@
                 vm = vms[(number + offset) % len(vms)]
                 if ready(vm):
                     return self.send(vm)
+            self._not_done.append(f"no VM was ready: {checked}")
             return Response("", "not-run", 0, b"", {})
 
         with concurrent.futures.ThreadPoolExecutor(threads) as pool:
