A gang waits for ever for the stop of a start that was never sent

Callers would see a gang that does not start again while one of its workers refuses orders, though nothing was ever sent to that worker.

Cause: a member whose start waits for its commit was stopped as its gang is broken; the start was then never sent, no order was open and no deadline set, so that only the answer to the stop could end the run.

UnsentStartTest failed before (not completed 12 s after the store is back, with two free workers) and passes.

--- a/packages/wisterialug-core/src/wisterialug_core/workflow/run_proofs.py
+++ b/packages/wisterialug-core/src/wisterialug_core/workflow/run_proofs.py
@@ -53,6 +53,11 @@
     stop_acked_s: float = 0.0
     earlier_epoch: bool = False
 
+    @property
+    def unsent(self) -> bool:
+        """Returns whether no order was sent for the run."""
+        return not (self.deadline_ms or self.earlier_epoch)
+
     @property
     def awaits_absence(self) -> bool:
         """Returns whether the next report shows if a stopped run exists."""
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/dispatcher.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/dispatcher.py
@@ -66,6 +66,12 @@
 
     def stop(self, task: model.Task, why: str) -> None:
         """Stops a task's active run; its end arrives in a report."""
+        if task.phase is model.Phase.STARTING and task.orders.unsent:
+            # Its start still waits for a commit, and is not sent after this.
+            self._owner.end_run(
+                task, model.RunEnd.LOST, "", run_proofs.Proof.NO_OPEN_START
+            )
+            return
         order = (task.key, task.run)
         worker = self._owner.shard_workers.workers.get(task.worker)
         if order in self._stopping or worker is None:
--- /dev/null
+++ b/tests/test_daemon/test_unsent_starts.py
@@ -0,0 +1,41 @@
+"""Starts that are given up before they were sent."""
+
+import eventlet
+import result
+
+from tests.test_daemon import workflow_base
+from wisterialug_core.schema import workflow_pb2
+from wisterialug_daemon.workflow import errors
+from wisterialug_standins import order_faults
+
+step = workflow_base.step
+# A lease and a poll: the run on the silent worker is lost, its gang stopped.
+EXPIRY_S = 7.0
+# A lease, and time for polls and the next start.
+RESTART_TIMEOUT_S = 12.0
+
+
+class UnsentStartTest(workflow_base.WorkflowTest):
+    """The store is away while a gang is placed, and a worker is silent."""
+
+    def refuse(self, transaction, timeout_s):
+        del transaction, timeout_s
+        eventlet.sleep(0.01)
+        return result.Err(errors.StoreRefusedError("503"))
+
+    def test_gang_waits_for_ever_for_the_stop_of_a_start_never_sent(self):
+        self.start_nodes(1, workers=2)
+        eventlet.sleep(2)
+        job = self.submit(step(2, gang=True, max_per_worker=1))
+        commit, self.store.commit = self.store.commit, self.refuse
+        self.fleet.workers["w0"].unreachable = True
+        refusing = self.fleet.workers["w1"]
+        refusing.fault_rates = {order_faults.OrderFault.REFUSED: 1.0}
+        refusing.poll_fault_rates = {}
+        eventlet.sleep(EXPIRY_S)
+        self.assertEqual([], self.fleet.history)
+        self.store.commit = commit
+        self.fleet.add("w2")
+        self.fleet.add("w3")
+        self.wait_for_state(job, workflow_pb2.JOB_COMPLETED, RESTART_TIMEOUT_S)
+        self.check_invariants()
