--- a/tests/test_daemon/test_returned_loans.py
+++ b/tests/test_daemon/test_returned_loans.py
@@ -8,8 +8,10 @@
 step = workflow_base.step
 # Leases of crashed workers end, and their tasks are lent.
 MOVE_TIMEOUT_S = 15
-# New owners start a waiting task well within this time.
+# Shards report the room of new workers.
 SETTLE_S = 3.0
+# A start whose run number was used before is rejected first, and numbered anew.
+RESTART_S = 8.0
 
 
 class ReturnedLoanTest(workflow_base.ShardsTestCase):
@@ -38,7 +40,7 @@
         for name in ("n7", "n8"):
             self.start_node(name)
         self.wait_for(lambda: self.owned_shards() == 2, 10)
-        eventlet.sleep(SETTLE_S)
+        eventlet.sleep(RESTART_S)
         self.assertEqual(started, len(self.fleet.history))
 
     def replace_workers(self, shard):
