A shard is lost if a loan arrives while its job's loans are looked up

Cause: Lender.is_borrowed went through the job's lenders while it waited for the store; a loan that another shard writes in that moment adds one, and the RuntimeError ended the owner's round. Found by review.

IsBorrowedTest failed before (RuntimeError: Set changed size during iteration). ReturnedLoanTest also checks now that no row of the job is left.

--- a/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/lender.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/lender.py
@@ -250,7 +250,8 @@
         While one does, the record must stay: without it, the next owner would
         run the tasks of the loan again.
         """
-        for lender in entry.lenders:
+        # A loan may arrive during a read.
+        for lender in sorted(entry.lenders):
             ref = records.loan(entry.job.id, lender, self._shard)
             read = row_store.scan_row(self._store, ref, READ_TIMEOUT_S)
             if read.is_err() or read.ok_value.rows:
--- a/tests/test_daemon/test_returned_loans.py
+++ b/tests/test_daemon/test_returned_loans.py
@@ -1,9 +1,20 @@
 """Loans of lasting tasks that come back to the shard of their job."""
 
+from unittest import mock
+
 import eventlet
+import result
+import testtools
 
 from tests.test_daemon import workflow_base
-from wisterialug_daemon.workflow import records
+from wisterialug_core.schema import workflow_pb2
+from wisterialug_core.workflow import job_entry, job_table
+from wisterialug_daemon.workflow import (
+    lender,
+    records,
+    row_store,
+    shard_recorder,
+)
 
 step = workflow_base.step
 # Leases of crashed workers end, and their tasks are lent.
@@ -21,6 +32,9 @@
     state_kept_s = 1
 
     def test_task_starts_again_long_after_its_job_was_cancelled(self):
+        self.enterContext(
+            mock.patch.object(shard_recorder, "LOAN_CHECK_INTERVAL_MS", 500)
+        )
         self.start_shards()
         job = self.submit(step(1, long_running=True))
         self.wait_for(self.active_runs, MOVE_TIMEOUT_S)
@@ -42,6 +56,10 @@
         self.wait_for(lambda: self.owned_shards() == 2, 10)
         eventlet.sleep(RESTART_S)
         self.assertEqual(started, len(self.fleet.history))
+        self.wait_for(lambda: not self.rows_of(job), 12)
+
+    def rows_of(self, job):
+        return [ref for ref in self.store.refs() if job in ref.key]
 
     def replace_workers(self, shard):
         """Crashes a shard's workers; others join once the tasks have left."""
@@ -61,3 +79,21 @@
     def shard_of(self, worker):
         layout = self.any_node().election.layout
         return records.shard_name(layout.shard_of(self.fleet.reports[worker]))
+
+
+class IsBorrowedTest(testtools.TestCase):
+    def test_shard_is_lost_if_a_loan_arrives_while_loans_are_looked_up(self):
+        entry = job_entry.JobEntry(workflow_pb2.Job(id="j"), home=False)
+        entry.lenders = {"s1", "s2"}
+        store = mock.Mock()
+
+        def scan(*args, **kwargs):
+            del args, kwargs
+            entry.lenders.add("s3")
+            return result.Ok(row_store.Snapshot((), False, 1))
+
+        store.scan.side_effect = scan
+        loans = lender.Lender(
+            "s0", job_table.JobTable(), store, mock.Mock(), dict
+        )
+        self.assertFalse(loans.is_borrowed(entry))
