A task starts on a worker that has said that it drains

Cause: a start that gets no answer is sent again 0.95 s later, and waits for its turn behind other orders without an answer; the worker's state was looked at only when the run was placed.

Now it is looked at before each attempt; a run with an open order is stopped, as for any other reason.

test_task_starts_on_a_worker_that_drains failed before (run on w0) and passes.

--- a/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/dispatcher.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/dispatcher.py
@@ -107,6 +107,10 @@
         for _ in range(MAX_START_ATTEMPTS):
             if not self._is_starting(start):
                 return
+            if worker.report.state is not model.WorkerState.READY:
+                # It may have begun to drain since the run was placed there.
+                self._abandon(start, "worker takes no new runs")
+                return
             entry = self._owner.shard_jobs.jobs[task.key.job]
             deadline_ms = worker.lease.grant(
                 clock.now_s(),
--- a/tests/test_daemon/test_unsent_starts.py
+++ b/tests/test_daemon/test_unsent_starts.py
@@ -39,3 +39,19 @@
         self.fleet.add("w3")
         self.wait_for_state(job, workflow_pb2.JOB_COMPLETED, RESTART_TIMEOUT_S)
         self.check_invariants()
+
+
+class DrainingWorkerTest(workflow_base.WorkflowTest):
+    """A worker begins to drain while a start to it has no answer."""
+
+    duration_s = 1.0
+
+    def test_task_starts_on_a_worker_that_drains(self):
+        self.start_nodes(1, workers=1)
+        self.fleet.next_start_faults.append(order_faults.OrderFault.LOST)
+        job = self.submit(step(1))
+        self.wait_for(lambda: not self.fleet.next_start_faults, 5)
+        self.fleet.drain("w0")
+        self.fleet.add("w1")
+        self.wait_for_state(job, workflow_pb2.JOB_COMPLETED)
+        self.assertEqual(["w1"], [run.worker for run in self.fleet.history])
