--- a/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/errors.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/errors.py
@@ -82,6 +82,13 @@
         return "worker unavailable; order not executed"
 
 
+class NotSentError(WorkerError):
+    """Reports an order not sent, as too many others await a response."""
+
+    def __str__(self) -> str:
+        return "not sent; other orders to the worker await a response"
+
+
 class OtherLifeError(WorkerError):
     """Reports that the worker has restarted under another ID."""
 
