A waiting backlog is no longer worked out anew in each round

Cause: what running fill work leaves on a worker was worked out for each group that waits, though it changes with the worker's runs only. The order of a group was worked out from the job's message in each round, by placement, lending, preemption and renewals, though it changes with the time and the ends of steps.

Change: what a worker leaves to fill work is kept for the round, until its runs change; the times of groups and the ready groups of a job are kept until a step ends.

--- a/packages/wisterialug-core/src/wisterialug_core/workflow/fill_interference.py
+++ b/packages/wisterialug-core/src/wisterialug_core/workflow/fill_interference.py
@@ -14,7 +14,7 @@
 from __future__ import annotations
 
 import enum
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, NamedTuple
 
 from wisterialug_core.workflow import fill_samples, interference_factors
 
@@ -63,6 +63,19 @@
 MOVE_AFTER_S = 1.0
 
 
+class ServingRoom(NamedTuple):
+    """What a serving image on a worker leaves to one more fill run.
+
+    Attributes:
+      load: Its expected utilisation, without fill runs.
+      left: Utilisation left for the run.
+    """
+
+    image: str
+    load: float
+    left: float
+
+
 class Reaction(enum.Enum):
     """A reaction to the interference of a fill run."""
 
@@ -134,30 +147,39 @@
             samples.loads[image] = load
             samples.mean_loads[image] = before + LOAD_WEIGHT * (load - before)
 
+    def serving_rooms(
+        self, samples: fill_samples.WorkerSamples, shares: Mapping[str, float]
+    ) -> tuple[ServingRoom, ...]:
+        """Returns what a worker's serving images leave to one more fill run.
+
+        Args:
+          samples: The worker's latest samples.
+          shares: Part of its processors that fill runs request, by image.
+        """
+        rooms = []
+        for image, target in samples.targets.items():
+            load = samples.mean_loads.get(image, PRIOR_LOAD)
+            raised = load * self._planned_inflation(image, shares)
+            left = PLACEMENT_LIMIT * target - raised
+            rooms.append(ServingRoom(image, load, left))
+        return tuple(rooms)
+
     def feasible_pace(
-        self,
-        samples: fill_samples.WorkerSamples,
-        shares: Mapping[str, float],
-        image: str,
-        share: float,
+        self, rooms: Iterable[ServingRoom], image: str, share: float
     ) -> float:
         """Returns the fraction of full pace at which one more fill run fits.
 
         Args:
-          samples: The worker's latest samples.
-          shares: Part of its processors that fill runs request, by image.
+          rooms: What the worker's serving images leave.
           image: Image of the fill run to add.
           share: Part of the processors that it requests.
         """
         part = 1.0
-        for serving, target in samples.targets.items():
+        for serving, load, left in rooms:
             factor = self._planned_factor(serving, image)
             if not factor:
                 continue
-            load = samples.mean_loads.get(serving, PRIOR_LOAD)
-            raised = load * self._planned_inflation(serving, shares)
-            room = PLACEMENT_LIMIT * target - raised
-            part = min(part, room / (load * factor * share + EPSILON))
+            part = min(part, left / (load * factor * share + EPSILON))
             if part <= 0:
                 return 0.0
         return max(0.0, part)
--- a/packages/wisterialug-core/src/wisterialug_core/workflow/job_entry.py
+++ b/packages/wisterialug-core/src/wisterialug_core/workflow/job_entry.py
@@ -9,7 +9,9 @@
 from wisterialug_core.workflow import model
 
 if TYPE_CHECKING:
-    from collections.abc import Iterator
+    from collections.abc import Iterable, Iterator
+
+    from wisterialug_core.workflow import urgency
 
 # `lent_to` of the tasks of a borrowed job that its home shard has not lent.
 HOME = "home"
@@ -51,6 +53,8 @@
       active: Number of active runs.
       lenders: Shards that have lent tasks of a borrowed job.
       ended_ms: When the job ended, or a borrowed one had nothing left to run.
+      times: What `urgency` has worked out by group; a backlog is sorted many
+        times a second. Holds until the next step ends.
     """
 
     job: workflow_pb2.Job
@@ -66,6 +70,13 @@
     )
     active: int = 0
     lenders: set[str] = dataclasses.field(default_factory=set)
+    times: dict[model.GroupKey, urgency.GroupTimes] = dataclasses.field(
+        default_factory=dict
+    )
+    # Ready groups of a job without repetitions, until the next step ends.
+    _ready: tuple[model.GroupKey, ...] | None = dataclasses.field(
+        default=None, init=False
+    )
 
     @property
     def repetitions(self) -> int:
@@ -95,8 +106,20 @@
             ]
             self.groups[key] = tasks
             self.open_tasks[key] = count
+            if not count:
+                self._note_step_end()
         return tasks
 
+    def note_done(self, key: model.GroupKey) -> None:
+        """Notes that one more task of a group is done."""
+        self.open_tasks[key] -= 1
+        if not self.open_tasks[key]:
+            self._note_step_end()
+
+    def _note_step_end(self) -> None:
+        self.times.clear()
+        self._ready = None
+
     def step_done(self, repetition: int, step: int) -> bool:
         """Returns whether all tasks of a step are done."""
         key = model.GroupKey(self.job.id, repetition, step)
@@ -104,10 +127,17 @@
 
     def ready_groups(
         self, now_ms: int, lookahead_ms: int = 0
-    ) -> Iterator[model.GroupKey]:
-        """Yields the unfinished groups that are due and not blocked."""
+    ) -> Iterable[model.GroupKey]:
+        """Returns the unfinished groups that are due and not blocked."""
+        if self.job.repeats:
+            return self._find_ready_groups(now_ms + lookahead_ms)
+        if self._ready is None:
+            self._ready = tuple(self._find_ready_groups(now_ms))
+        return self._ready
+
+    def _find_ready_groups(self, until_ms: int) -> Iterator[model.GroupKey]:
         for repetition in range(self.repetitions):
-            if self.due_ms(repetition) > now_ms + lookahead_ms:
+            if self.due_ms(repetition) > until_ms:
                 return
             for number, step in enumerate(self.job.steps):
                 if self.step_done(repetition, number):
--- a/packages/wisterialug-core/src/wisterialug_core/workflow/job_table.py
+++ b/packages/wisterialug-core/src/wisterialug_core/workflow/job_table.py
@@ -92,7 +92,7 @@
             task.loans = record.loans
             if record.done:
                 task.done = True
-                entry.open_tasks[key] -= 1
+                entry.note_done(key)
             elif record.worker:
                 task.worker = record.worker
                 task.phase = model.Phase.ADOPTED
@@ -319,7 +319,7 @@
         for member in tasks:
             if not member.done:
                 member.done = True
-                entry.open_tasks[key] -= 1
+                entry.note_done(key)
 
     def _finish(
         self, entry: job_entry.JobEntry, state: int, now_ms: int
--- a/packages/wisterialug-core/src/wisterialug_core/workflow/step_placement.py
+++ b/packages/wisterialug-core/src/wisterialug_core/workflow/step_placement.py
@@ -108,7 +108,7 @@
         self.placements: list[Placement] = []
         self._jobs = jobs
         self._workers = workers
-        self._interference = interference
+        self._fill_rooms = worker_rating.FillRooms(interference)
         self._usable = usable
         self._now_s = now_s
         self._now_ms = now_ms
@@ -155,11 +155,11 @@
                 candidates,
                 self._jobs,
                 self._workers,
-                self._interference,
+                self._fill_rooms,
             )
             return
         queue = worker_rating.Candidates(
-            step, group, candidates, self._interference
+            step, group, candidates, self._fill_rooms
         )
         for task in waiting:
             worker = queue.best(task)
@@ -184,7 +184,7 @@
     ) -> None:
         """Places a run that is throttled to protect serving tasks."""
         worker = worker_rating.Candidates(
-            step, group, candidates, self._interference, throttled=True
+            step, group, candidates, self._fill_rooms, throttled=True
         ).best()
         if worker is not None:
             self._reserve(task, worker)
@@ -258,8 +258,9 @@
     step = entry.job.steps[group.step]
     usable = [w for w in workers.workers.values() if w.usable(now_s)]
     candidates = eligible_workers(entry, step, usable)
+    fill_rooms = worker_rating.FillRooms(interference)
     return (
-        worker_rating.Candidates(step, group, candidates, interference).best()
+        worker_rating.Candidates(step, group, candidates, fill_rooms).best()
         is not None
     )
 
@@ -288,11 +289,12 @@
     usable: list[worker_table.Worker],
 ) -> list[worker_table.Worker]:
     """Returns the workers that are eligible for a step."""
+    service, label = entry.job.policy.service, step.required_label
     return [
         w
         for w in usable
-        if w.report.service == entry.job.policy.service
-        and (not step.required_label or step.required_label in w.report.labels)
+        if w.report.service == service
+        and (not label or label in w.report.labels)
     ]
 
 
@@ -342,7 +344,7 @@
     candidates: list[worker_table.Worker],
     jobs: job_table.JobTable,
     workers: worker_table.WorkerTable,
-    interference: fill_interference.InterferenceModel,
+    fill_rooms: worker_rating.FillRooms,
 ) -> list[Placement]:
     """Places all members of a gang, or none."""
     if any(t.active for t in tasks):
@@ -354,7 +356,7 @@
     run = max(t.run for t in tasks) + 1
     for pool in pools if step.same_rack else [candidates]:
         placements: list[Placement] = []
-        queue = worker_rating.Candidates(step, group, pool, interference)
+        queue = worker_rating.Candidates(step, group, pool, fill_rooms)
         for task in tasks:
             worker = queue.best(task)
             if worker is None:
--- a/packages/wisterialug-core/src/wisterialug_core/workflow/urgency.py
+++ b/packages/wisterialug-core/src/wisterialug_core/workflow/urgency.py
@@ -6,8 +6,9 @@
 from __future__ import annotations
 
 import enum
+import math
 from collections.abc import Callable
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, NamedTuple
 
 from wisterialug_core.workflow import model
 
@@ -74,6 +75,50 @@
     return job.policy.stretch * chain_ms(job) + job.policy.target_latency_ms
 
 
+class GroupTimes(NamedTuple):
+    """What decides when a group should start, whatever the time is now.
+
+    Attributes:
+      latest_ms: Latest start at which its job can be on time, in Unix ms; the
+        job's arrival for a long-running step.
+      useful_ms: Latest start at which the job is of use.
+    """
+
+    long_running: bool
+    priority: int
+    size_class: int
+    latest_ms: float
+    useful_ms: float
+
+
+def group_times(entry: job_entry.JobEntry, group: model.GroupKey) -> GroupTimes:
+    """Returns a group's times; they change when a step of its job ends."""
+    times = entry.times.get(group)
+    if times is None:
+        times = _work_out_times(entry, group)
+        entry.times[group] = times
+    return times
+
+
+def _work_out_times(
+    entry: job_entry.JobEntry, group: model.GroupKey
+) -> GroupTimes:
+    job = entry.job
+    priority = job.policy.priority
+    if job.steps[group.step].long_running:
+        return GroupTimes(True, priority, 0, job.accepted_ms, math.inf)
+    begin_ms = entry.due_ms(group.repetition) or job.accepted_ms
+    objective = objective_ms(job)
+    left_ms = remaining_ms(entry, group)
+    return GroupTimes(
+        False,
+        priority,
+        size_class(job),
+        begin_ms + objective - left_ms,
+        begin_ms + LATE_FACTOR * objective - left_ms,
+    )
+
+
 def order(
     entry: job_entry.JobEntry, group: model.GroupKey, now_ms: int
 ) -> tuple[int, int, int, float]:
@@ -82,18 +127,13 @@
     In a backlog, small jobs go before large ones of the same priority: many of
     them can be on time at the cost of one large job.
     """
-    job = entry.job
-    step = job.steps[group.step]
-    if step.long_running:
-        return Urgency.LONG_RUNNING, job.policy.priority, 0, job.accepted_ms
-    begin_ms = entry.due_ms(group.repetition) or job.accepted_ms
-    objective = objective_ms(job)
-    left_ms = remaining_ms(entry, group)
-    latest_ms = begin_ms + objective - left_ms
-    if now_ms <= latest_ms:
+    times = group_times(entry, group)
+    if times.long_running:
+        urgency = Urgency.LONG_RUNNING
+    elif now_ms <= times.latest_ms:
         urgency = Urgency.ON_TIME
-    elif now_ms <= begin_ms + LATE_FACTOR * objective - left_ms:
+    elif now_ms <= times.useful_ms:
         urgency = Urgency.LATE
     else:
         urgency = Urgency.TOO_LATE
-    return urgency, job.policy.priority, size_class(job), latest_ms
+    return urgency, times.priority, times.size_class, times.latest_ms
--- a/packages/wisterialug-core/src/wisterialug_core/workflow/worker_rating.py
+++ b/packages/wisterialug-core/src/wisterialug_core/workflow/worker_rating.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import heapq
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, NamedTuple
 
 from wisterialug_core.workflow import fill_interference, job_table
 
@@ -14,6 +14,55 @@
     from wisterialug_core.workflow import model, worker_table
 
 
+class _FillRoom(NamedTuple):
+    """What a worker leaves to fill work.
+
+    Attributes:
+      changes: The worker's number of changes when this was worked out.
+      millicores: Processor time that one more fill run may expect.
+      sampled: Whether there is a sample of each serving image.
+      servings: What the serving images leave.
+    """
+
+    changes: int
+    millicores: int
+    sampled: bool
+    servings: tuple[fill_interference.ServingRoom, ...]
+
+
+class FillRooms:
+    """What workers leave to fill work, for one round.
+
+    The groups of a backlog all ask for it, and it changes with a worker's runs
+    only: samples do not change during a round.
+    """
+
+    def __init__(
+        self, interference: fill_interference.InterferenceModel
+    ) -> None:
+        self._interference = interference
+        self._rooms: dict[str, _FillRoom] = {}
+
+    def of(self, worker: worker_table.Worker) -> _FillRoom:
+        """Returns what a worker leaves to fill work now."""
+        room = self._rooms.get(worker.report.id)
+        if room is None or room.changes != worker.changes:
+            room = _FillRoom(
+                worker.changes,
+                worker.fill_room_millicores(),
+                not worker.has_unsampled_serving(),
+                self._interference.serving_rooms(
+                    worker.samples, worker.fill_shares
+                ),
+            )
+            self._rooms[worker.report.id] = room
+        return room
+
+    def pace(self, room: _FillRoom, image: str, share: float) -> float:
+        """Returns the fraction of full pace at which a fill run fits."""
+        return self._interference.feasible_pace(room.servings, image, share)
+
+
 class Candidates:
     """Workers for tasks of one group, the best first.
 
@@ -26,14 +75,14 @@
         step: workflow_pb2.Step,
         group: model.GroupKey,
         workers: Iterable[worker_table.Worker],
-        interference: fill_interference.InterferenceModel,
+        fill_rooms: FillRooms,
         *,
         throttled: bool = False,
     ) -> None:
         self._step = step
         self._group = group
         self._need = job_table.reserved_amount(step)
-        self._interference = interference
+        self._fill_rooms = fill_rooms
         self._throttled = throttled
         self._heap: list[tuple[tuple, int, worker_table.Worker]] = []
         for number, worker in enumerate(workers):
@@ -88,18 +137,13 @@
             return None
         if not step.fills:
             return _score(step, worker)
+        room = self._fill_rooms.of(worker)
         # Without samples of each serving image, interference is unknown.
-        if not self._throttled and worker.has_unsampled_serving():
+        if not self._throttled and not room.sampled:
             return None
-        room = worker.fill_room_millicores()
-        if not self._throttled and room < step.cpu_millicores:
+        if not self._throttled and room.millicores < step.cpu_millicores:
             return None
-        pace = self._interference.feasible_pace(
-            worker.samples,
-            worker.fill_shares,
-            step.image,
-            worker.cpu_share(step),
-        )
+        pace = self._fill_rooms.pace(room, step.image, worker.cpu_share(step))
         if not self._throttled and pace < fill_interference.MIN_START_PACE:
             return None
         return _fill_score(step, worker, pace)
--- a/packages/wisterialug-core/src/wisterialug_core/workflow/worker_table.py
+++ b/packages/wisterialug-core/src/wisterialug_core/workflow/worker_table.py
@@ -39,6 +39,7 @@
       serving: Runs of tasks that serve users, by image.
       samples: Latest samples of its runs.
       fill_shares: Part of the processors that fill runs request, by image.
+      changes: Number of reservations and releases so far.
     """
 
     report: model.WorkerReport
@@ -67,6 +68,7 @@
         default_factory=fill_samples.WorkerSamples
     )
     fill_shares: dict[str, float] = dataclasses.field(default_factory=dict)
+    changes: int = 0
 
     @property
     def rack(self) -> str:
@@ -176,6 +178,7 @@
         if task.key in worker.runs:
             return
         worker.runs.add(task.key)
+        worker.changes += 1
         worker.reserved = worker.reserved.plus(job_table.reserved_amount(step))
         group = model.GroupKey(*task.key[:3])
         worker.step_counts[group] = worker.step_counts.get(group, 0) + 1
@@ -193,6 +196,7 @@
         if worker is None or task.key not in worker.runs:
             return
         worker.runs.discard(task.key)
+        worker.changes += 1
         worker.reserved = worker.reserved.minus(job_table.reserved_amount(step))
         group = model.GroupKey(*task.key[:3])
         worker.step_counts[group] -= 1
--- a/tests/test_core/test_workflow/test_fill_interference.py
+++ b/tests/test_core/test_workflow/test_fill_interference.py
@@ -56,9 +56,10 @@
         sim.train("heavy")
         sim.train("light")
         sim.sample([], load=0.6)
-        heavy = sim.model.feasible_pace(sim.samples, {}, "heavy", 0.2)
+        rooms = sim.model.serving_rooms(sim.samples, {})
+        heavy = sim.model.feasible_pace(rooms, "heavy", 0.2)
         self.assertLess(heavy, fill_interference.MIN_START_PACE)
-        light = sim.model.feasible_pace(sim.samples, {}, "light", 0.9)
+        light = sim.model.feasible_pace(rooms, "light", 0.9)
         self.assertEqual(1.0, light)
 
     def test_only_the_interfering_run_is_throttled(self):
--- a/tests/test_core/test_workflow/test_job_table.py
+++ b/tests/test_core/test_workflow/test_job_table.py
@@ -1,9 +1,11 @@
 """Tests of the table of a shard's jobs."""
 
+import random
+
 import testtools
 
 from wisterialug_core.schema import workflow_pb2
-from wisterialug_core.workflow import job_table, model
+from wisterialug_core.workflow import job_table, model, urgency
 
 
 def job(*steps, **fields):
@@ -49,6 +51,46 @@
         self.assertEqual(workflow_pb2.JOB_COMPLETED, entry.state)
         self.assertEqual({}, self.table.open_jobs)
 
+    def test_times_and_ready_groups_follow_the_ends_of_steps(self):
+        # Both are kept between rounds; compared with a job that keeps nothing.
+        for seed in range(20):
+            rng = random.Random(seed)
+            steps = [
+                step(
+                    rng.randint(1, 3),
+                    estimate_ms=rng.randint(1, 900),
+                    after=[a for a in range(number) if rng.random() < 0.4],
+                )
+                for number in range(5)
+            ]
+            table = job_table.JobTable()
+            table.add(job(*steps, accepted_ms=1))
+            entry = table.jobs["j"]
+            while True:
+                ready = list(entry.ready_groups(0))
+                task = rng.choice(
+                    [t for g in ready for t in entry.group(g) if t.pending]
+                )
+                table.start(task, "w", task.run + 1, 0.0)
+                table.end(task, model.RunEnd.DONE, "", 99)
+                if entry.final:
+                    break
+                fresh = job_table.JobTable()
+                fresh.add(job(*steps, accepted_ms=1))
+                fresh.restore(fresh.jobs["j"], table.progress("j"))
+                fresh_entry = fresh.jobs["j"]
+                self.assertEqual(
+                    list(fresh_entry.ready_groups(0)),
+                    list(entry.ready_groups(0)),
+                )
+                # Of a borrowed job, each group may be asked for at any time.
+                for number in range(5):
+                    group = model.GroupKey("j", 0, number)
+                    self.assertEqual(
+                        urgency.order(fresh_entry, group, 0),
+                        urgency.order(entry, group, 0),
+                    )
+
     def test_only_failures_use_up_attempts(self):
         self.table.add(job(step(1)))
         for end in (
--- a/tests/test_core/test_workflow/test_step_placement.py
+++ b/tests/test_core/test_workflow/test_step_placement.py
@@ -8,7 +8,9 @@
     fill_interference,
     job_table,
     model,
+    preemption,
     step_placement,
+    urgency,
     worker_table,
 )
 
@@ -90,7 +92,7 @@
         spread = [worker for job, worker in plan if job == "spread"]
         self.assertEqual(["w0", "w1"], sorted(spread))
 
-    def fail(self, job, worker):
+    def fail_on(self, job, worker):
         """Records that a run of a job's only task has failed on a worker."""
         task = self.jobs.task(model.TaskKey(job, 0, 0, 0))
         self.jobs.start(task, worker, task.run + 1, NOW_S)
@@ -115,14 +117,14 @@
         self.worker("good")
         self.job("other", step(1))
         self.job("j", step(1))
-        self.fail("other", "suspect")
-        self.fail("j", "bad")
+        self.fail_on("other", "suspect")
+        self.fail_on("j", "bad")
         self.assertIn(("j", "good"), self.plan())
 
     def test_failed_task_runs_where_it_failed_if_there_is_no_other(self):
         self.worker("only")
         self.job("j", step(1))
-        self.fail("j", "only")
+        self.fail_on("j", "only")
         self.assertEqual([("j", "only")], self.plan())
 
     def test_tasks_go_near_their_data(self):
@@ -272,6 +274,43 @@
         # One call for each image and worker, not for each job or task.
         self.assertLessEqual(len(calls), 4 * 50)
 
+    def test_running_fill_work_is_not_rated_for_each_group_that_waits(self):
+        # Two owners spent two processors each on a backlog that did not move.
+        for number in range(50):
+            worker = self.worker(f"w{number}", cpu=16_000)
+            worker.serving["s"] = 1
+            worker.samples.targets["s"] = 0.8
+            worker.samples.mean_loads["s"] = 0.75
+            for image in ("x", "y", "z"):
+                worker.fill_shares[image] = 0.1
+        for number in range(100):
+            image = f"f{number % 20}"
+            self.job(f"fill{number}", step(20, fills=True, image=image))
+        pairs = []
+        mean = self.interference.factors.mean
+        self.interference.factors.mean = lambda *pair: (
+            pairs.append(pair) or mean(*pair)
+        )
+        self.assertEqual([], self.plan())
+        # Of each worker, each image that waits, and once each one that runs.
+        self.assertLessEqual(len(pairs), 50 * (20 + 3))
+
+    def test_order_of_a_backlog_is_not_worked_out_in_each_round(self):
+        self.load_fully(self.worker("w0", cpu=1000))
+        for number in range(100):
+            self.job(f"j{number}", step(5), step(5, after=[0]))
+        counted = []
+        size_class = urgency.size_class
+        self.patch(
+            urgency,
+            "size_class",
+            lambda job: counted.append(job.id) or size_class(job),
+        )
+        for _ in range(20):
+            self.assertEqual([], self.plan())
+            preemption.select(self.jobs, self.pool, NOW_S, NOW_MS)
+        self.assertLessEqual(len(counted), 100)
+
     def test_starved_job_waits_while_most_is_reserved(self):
         worker = self.worker("w0", cpu=2000)
         self.load_fully(worker)
