--- a/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/owner.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/owner.py
@@ -14,7 +14,6 @@
     job_table,
     model,
     ownership,
-    round_pace,
     step_placement,
     worker_table,
 )
@@ -348,16 +347,14 @@
         self._dispatcher.stop_unwanted()
         self._dispatcher.make_room(now_s)
         self._lender.check(now_s)
-        pause_s = round_pace.pause_s(clock.now_s() - now_s)
         renewal_due = now_s - self.rows.renewed_s >= RENEWAL_INTERVAL_S
         if self.shard_jobs.dirty or renewal_due:
             self._commit(renewal_due)
-            pause_s = max(pause_s, COMMIT_SPACING_S)
+            eventlet.sleep(COMMIT_SPACING_S)
         if renewal_due:
             self._sessions.remove_unused()
             if self._is_partitioned(now_s):
                 self.give_up("most workers unreachable from this VM")
-        eventlet.sleep(pause_s)
 
     def _commit(self, renewal_due: bool) -> None:
         """Commits changes, then sends the starts that depend on them."""
