A request without time is unknown though it has not run

Now a request is forwarded only if more time is left than the service needs.

test_request_without_time_is_unknown_though_it_has_not_run failed before and passes.

--- a/packages/wisterialug-daemon/src/wisterialug_daemon/forwarding.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/forwarding.py
@@ -49,7 +49,7 @@
         """Forwards a request if a peer has free slots and this VM has none.
 
         A request that would wait shortly here is not forwarded, unless it
-        would be refused.
+        would be refused; nor is one that has too little time left.
         """
         if req.hops >= MAX_HOPS:
             return None
@@ -64,10 +64,12 @@
             and self._queues.meets(service, req.deadline)
         ):
             return None
+        remaining_s = req.deadline - time.monotonic()
+        if remaining_s <= self._queues.queue(service).service_time_s:
+            return None
         peer = self._best_peer(service)
         if peer is None:
             return None
-        remaining_s = req.deadline - time.monotonic()
         message = peer_pb2.ForwardRequest(
             customer=req.customer,
             service=req.service,
--- a/tests/test_daemon/test_forwarding.py
+++ b/tests/test_daemon/test_forwarding.py
@@ -106,7 +106,7 @@
         for _ in range(8):
             self.queues.queue(SERVICE).record_service_time(STALLED_S)
 
-    def handle(self):
+    def handle(self, timeout_s=TIMEOUT_S):
         return self.router.handle(
             messages.CallerRequest(
                 *SERVICE,
@@ -114,7 +114,7 @@
                 "/",
                 (),
                 b"",
-                time.monotonic() + TIMEOUT_S,
+                time.monotonic() + timeout_s,
                 key="k",
             )
         )
@@ -136,6 +136,13 @@
         self.assertEqual("deadline-too-near", response.reason)
         self.members.call.assert_not_called()
 
+    def test_request_without_time_is_unknown_though_it_has_not_run(self):
+        self.report_peer(3)
+        for timeout_s in (USUAL_S / 2, -0.1):
+            response = self.handle(timeout_s)
+            self.assertEqual(messages.Outcome.NOT_RUN, response.outcome)
+        self.members.call.assert_not_called()
+
     def test_request_that_waits_shortly_is_not_forwarded(self):
         self.report_peer(3)
         with mock.patch.object(
