--- a/packages/wisterialug-core/src/wisterialug_core/decisions/admission.py
+++ b/packages/wisterialug-core/src/wisterialug_core/decisions/admission.py
@@ -62,6 +62,10 @@
         self.tokens -= 1
         return True
 
+    def wait_s(self, now: float) -> float:
+        """Returns seconds until the next token that is not taken is due."""
+        return max(0.0, (1 - self.refill(now)) / self.rate_per_s)
+
     def reserve(self, now: float) -> float:
         """Takes the next token, due or not; returns seconds until it is due."""
         self.tokens = self.refill(now) - 1
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/adapters/table.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/adapters/table.py
@@ -27,6 +27,8 @@
 BREAKER_MAX_OPEN_S = 2.0
 FIRST_BACKOFF_S = 0.05
 MAX_BACKOFF_S = 1.0
+# Longest wait of urgent calls in order of arrival; callers have some seconds.
+MAX_ORDERED_WAIT_S = 0.5
 # Part of the budget that only urgent calls may use.
 URGENT_RESERVE_RATIO = 0.25
 _HTTP_OK = 200
@@ -309,19 +311,27 @@
         return outcome
 
     def _wait_for_budget(self, urgent: bool) -> None:
-        """Waits for a token; urgent calls get theirs in order of arrival."""
-        if urgent:
-            # Calls that wait and try again might be overtaken for seconds.
-            wait_s = self._bucket.reserve(self._clock())
-            if wait_s > 0:
-                self._sleep(wait_s)
-            return
+        """Waits for a token; urgent calls get theirs in order of arrival.
+
+        While too many calls wait, the order is left to chance: in turn, each
+        would be answered too late for its caller.
+        """
+        interval_s = 1.0 / self._bucket.rate_per_s
+        while urgent:
+            now = self._clock()
+            if self._bucket.wait_s(now) <= MAX_ORDERED_WAIT_S:
+                # Calls that wait and try again might be overtaken for seconds.
+                wait_s = self._bucket.reserve(now)
+                if wait_s > 0:
+                    self._sleep(wait_s)
+                return
+            self._sleep(interval_s)
         kept = URGENT_RESERVE_RATIO * self._bucket.rate_per_s
         while True:
             if self._bucket.refill(self._clock()) > kept:
                 if self._bucket.take(self._clock()):
                     return
-            self._sleep(1.0 / self._bucket.rate_per_s)
+            self._sleep(interval_s)
 
     def _record_outcome(self, kind: str, outcome: result.Result) -> None:
         failed = outcome.is_err() and not isinstance(
--- a/tests/test_daemon/test_table_budget.py
+++ b/tests/test_daemon/test_table_budget.py
@@ -89,6 +89,17 @@
         self.assertTrue(times[-1] >= (CALLS - 0.01) * INTERVAL_S)
         self.assertTrue(times[-1] <= (CALLS + 1) * INTERVAL_S)
 
+    def test_all_calls_are_late_while_too_many_arrive(self):
+        per_s, seconds, in_time_s = 52, 30, 1.5
+        self.use_burst()
+        for n in range(per_s * seconds):
+            self.read_at(n, n / per_s)
+        self.time.run()
+        # Once a queue has built up.
+        late_half = range(per_s * seconds // 2, per_s * seconds)
+        in_time = sum(self.done[n] - n / per_s <= in_time_s for n in late_half)
+        self.assertGreater(in_time, len(late_half) / 2)
+
     def test_reserve_is_left_to_urgent_calls(self):
         self.use_burst()
         self.read_at("other", 0.0, urgent=False)
