Members of a large gang start without the others

A gang of 260 ended in a RecursionError; the members left over were sent after the commit.

Now a run that is given up before its start is marked and ends in a greenlet of its own; stop() also leaves tasks without a run alone.

--- a/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/dispatcher.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/dispatcher.py
@@ -66,11 +66,12 @@
 
     def stop(self, task: model.Task, why: str) -> None:
         """Stops a task's active run; its end arrives in a report."""
+        if not task.active:
+            return
         if task.phase is model.Phase.STARTING and task.orders.unsent:
             # Its start still waits for a commit, and is not sent after this.
-            self._owner.end_run(
-                task, model.RunEnd.LOST, "", run_proofs.Proof.NO_OPEN_START
-            )
+            task.phase = model.Phase.STOPPING
+            self._owner.greenlets.spawn(self._end_unsent, task, task.run)
             return
         order = (task.key, task.run)
         worker = self._owner.shard_workers.workers.get(task.worker)
@@ -83,6 +84,16 @@
         task.phase = model.Phase.STOPPING
         self._owner.greenlets.spawn(self._stop, worker, task, task.run, why)
 
+    def _end_unsent(self, task: model.Task, run: int) -> None:
+        """Ends a run that was given up before its start was sent.
+
+        Apart from `stop`, as the end of one member of a gang stops the others.
+        """
+        if task.active and task.run == run:
+            self._owner.end_run(
+                task, model.RunEnd.LOST, "", run_proofs.Proof.NO_OPEN_START
+            )
+
     def _must_move(self, task: model.Task, job: workflow_pb2.Job) -> bool:
         worker = self._owner.shard_workers.workers.get(task.worker)
         if (
--- a/tests/test_daemon/test_unsent_starts.py
+++ b/tests/test_daemon/test_unsent_starts.py
@@ -40,6 +40,20 @@
         self.wait_for_state(job, workflow_pb2.JOB_COMPLETED, RESTART_TIMEOUT_S)
         self.check_invariants()
 
+    def test_members_of_a_large_gang_start_without_the_others(self):
+        self.start_nodes(1, workers=24)
+        eventlet.sleep(2)
+        job = self.submit(step(300, gang=True))
+        commit, self.store.commit = self.store.commit, self.refuse
+        self.fleet.workers["w0"].unreachable = True
+        eventlet.sleep(EXPIRY_S)
+        self.assertEqual([], self.fleet.history)
+        self.store.commit = commit
+        self.wait_for_state(job, workflow_pb2.JOB_COMPLETED, RESTART_TIMEOUT_S)
+        runs = {run.run for run in self.fleet.history}
+        self.assertEqual(1, len(runs))
+        self.check_invariants()
+
 
 class DrainingWorkerTest(workflow_base.WorkflowTest):
     """A worker begins to drain while a start to it has no answer."""
