--- a/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/worker_session.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/worker_session.py
@@ -13,6 +13,7 @@
     clock,
     errors,
     fill_pacing,
+    lost_worker,
     owner_logs,
     worker_calls,
 )
@@ -75,7 +76,9 @@
     def note_restart(self) -> None:
         """Notes that the worker has restarted, which ended all its runs."""
         self.worker.gone = True
-        self._mark_runs_lost(run_proofs.Proof.RESTARTED)
+        lost_worker.end_runs(
+            self._owner, self.worker, run_proofs.Proof.RESTARTED
+        )
 
     def note_stop_acked(
         self, task: model.Task, run: int, reply: worker_calls.Reply
@@ -391,10 +394,6 @@
             )
         )
         if now_s > expiry_s and self.worker.runs:
-            self._mark_runs_lost(run_proofs.Proof.LEASE_EXPIRED)
-
-    def _mark_runs_lost(self, proof: run_proofs.Proof) -> None:
-        for key in list(self.worker.runs):
-            task = self._owner.shard_jobs.task(key)
-            if task is not None and task.worker == self.worker.report.id:
-                self._owner.end_run(task, model.RunEnd.LOST, "", proof)
+            lost_worker.end_runs(
+                self._owner, self.worker, run_proofs.Proof.LEASE_EXPIRED
+            )
