--- a/packages/wisterialug-standins/src/wisterialug_standins/emulated_registry.py
+++ b/packages/wisterialug-standins/src/wisterialug_standins/emulated_registry.py
@@ -18,6 +18,7 @@
 
 TICK_S = 0.01
 LATENCY_S = 0.002
+RESTART_S = 0.5
 
 
 class EmulatedRegistry(sources.WorkerRegistry):
@@ -26,9 +27,11 @@
     Attributes:
       workers: Workers that exist, by id.
       reports: Reports of all workers at registration, including removed ones.
+      restart_s: How long a worker is down after a task has crashed it.
     """
 
     def __init__(self) -> None:
+        self.restart_s = RESTART_S
         self.workers: dict[str, emulated_worker.EmulatedWorker] = {}
         self.reports: dict[str, model.WorkerReport] = {}
         self._list_version = 0
@@ -41,22 +44,20 @@
         data_centre: str = "dc1",
     ) -> emulated_worker.EmulatedWorker:
         """Registers a worker."""
-        worker = emulated_worker.EmulatedWorker(
-            model.WorkerReport(
-                id=model.WorkerId(name),
-                address=f"{name}:1",
-                service="app",
-                data_centre=data_centre,
-                state=model.WorkerState.READY,
-                capacity=resources.Amount(cpu_millicores, 64_000, 0),
-                labels=("a", rack),
-                remaining_ms=0,
+        return self._register(
+            emulated_worker.EmulatedWorker(
+                model.WorkerReport(
+                    id=model.WorkerId(name),
+                    address=f"{name}:1",
+                    service="app",
+                    data_centre=data_centre,
+                    state=model.WorkerState.READY,
+                    capacity=resources.Amount(cpu_millicores, 64_000, 0),
+                    labels=("a", rack),
+                    remaining_ms=0,
+                )
             )
         )
-        self.workers[name] = worker
-        self.reports[name] = worker.report
-        self._list_version += 1
-        return worker
 
     def drain(self, name: str) -> None:
         """Marks a worker as draining."""
@@ -81,6 +82,47 @@
         worker.running.clear()
         self._list_version += 1
 
+    def crash_and_restart(self, name: str) -> None:
+        """Crashes a worker, which is back at its address after `restart_s`."""
+        report = self.workers[name].report
+        self.crash(name)
+        eventlet.spawn_after(self.restart_s, self._restart, report)
+
+    def _restart(self, report: model.WorkerReport) -> None:
+        base, _, number = report.id.partition(".")
+        new = dataclasses.replace(
+            report,
+            id=model.WorkerId(f"{base}.{int(number or 0) + 1}"),
+            state=model.WorkerState.READY,
+        )
+        self._register(emulated_worker.EmulatedWorker(new))
+
+    def set_capacity(self, name: str, cpu_millicores: int) -> None:
+        """Changes what a worker has, and says, while it runs."""
+        worker = self.workers[name]
+        amount = dataclasses.replace(
+            worker.report.capacity, cpu_millicores=cpu_millicores
+        )
+        worker.report = dataclasses.replace(worker.report, capacity=amount)
+        self._list_version += 1
+
+    def successor(
+        self, worker: model.WorkerReport
+    ) -> emulated_worker.EmulatedWorker | None:
+        """Returns the next incarnation of a worker, at the same address."""
+        for other in self.workers.values():
+            if other.report.address == worker.address:
+                return other
+        return None
+
+    def _register(
+        self, worker: emulated_worker.EmulatedWorker
+    ) -> emulated_worker.EmulatedWorker:
+        self.workers[worker.report.id] = worker
+        self.reports[worker.report.id] = worker.report
+        self._list_version += 1
+        return worker
+
     def read(self) -> result.Result[sources.WorkerChanges, errors.StoreError]:
         """Reads the whole list."""
         eventlet.sleep(LATENCY_S)
--- a/packages/wisterialug-standins/src/wisterialug_standins/emulated_worker.py
+++ b/packages/wisterialug-standins/src/wisterialug_standins/emulated_worker.py
@@ -18,6 +18,7 @@
     Attributes:
       acked: The scheduler has told the worker that the run's end is durable,
         and no lease has lapsed between the end and that.
+      crashed_worker: The run has crashed its worker.
     """
 
     task: str
@@ -29,6 +30,7 @@
     ended_s: float = 0.0
     end: model.RunEnd | None = None
     acked: bool = False
+    crashed_worker: bool = False
 
 
 @dataclasses.dataclass
--- a/packages/wisterialug-standins/src/wisterialug_standins/emulated_workers.py
+++ b/packages/wisterialug-standins/src/wisterialug_standins/emulated_workers.py
@@ -25,6 +25,8 @@
     from collections.abc import Callable
 
 MAX_LEASE_MS = 10_000
+# Time from the start of a task that crashes its worker to the crash.
+CRASH_DELAY_S = 0.01
 # Range of the delay of orders that arrive late.
 ORDER_DELAY_S = (0.5, 3.0)
 
@@ -52,6 +54,9 @@
         self.order_delay_s = ORDER_DELAY_S
         # Returns the number of members of a task's gang; 0 without a gang.
         self.gang_size: Callable[[str], int] = lambda _: 0
+        # Returns whether a task crashes each worker that starts it.
+        self.crashes_worker: Callable[[str], bool] = lambda _: False
+        self.crash_delay_s = CRASH_DELAY_S
         self.history: list[emulated_worker.RunRecord] = []
         self._rng = rng
         self._duration_s = duration_s
@@ -187,6 +192,8 @@
         sent_s = clock.now_s()
         eventlet.sleep(emulated_registry.LATENCY_S)
         target = self.workers.get(worker.id)
+        if target is None and self.successor(worker) is not None:
+            return result.Err(errors.OtherLifeError())
         if target is None or target.unreachable:
             eventlet.sleep(timeout_s)
             return result.Err(errors.NoAnswerError("unreachable"))
@@ -259,8 +266,23 @@
         )
         target.running[order.task] = record
         self.history.append(record)
+        if self.crashes_worker(order.task):
+            eventlet.spawn_after(
+                self.crash_delay_s, self._crash_under, target, record
+            )
         return None
 
+    def _crash_under(
+        self,
+        target: emulated_worker.EmulatedWorker,
+        record: emulated_worker.RunRecord,
+    ) -> None:
+        """Crashes a worker under a run that is still active there."""
+        name = target.report.id
+        if record.end is None and self.workers.get(name) is target:
+            record.crashed_worker = True
+            self.crash_and_restart(name)
+
     def _extend(
         self, target: emulated_worker.EmulatedWorker, deadline_ms: int | None
     ) -> None:
--- a/packages/wisterialug-standins/src/wisterialug_standins/run_oracle.py
+++ b/packages/wisterialug-standins/src/wisterialug_standins/run_oracle.py
@@ -19,6 +19,10 @@
 # Time after the reply to a cancel in which all tasks of the job must end: the
 # users' limits for starts and for stops, plus the longest stop.
 CANCEL_LIMIT_S = 3.4
+# A task that crashes its workers may start twice more after three crashes, as
+# the users allow.
+CRASHES_BEFORE_LIMIT = 3
+MAX_STARTS_AFTER_CRASHES = 2
 
 
 @dataclasses.dataclass
@@ -61,6 +65,7 @@
         failed = [r for r in runs if r.end is model.RunEnd.FAILED and r.acked]
         if not step.long_running and len(failed) > job.policy.max_attempts:
             found.append(f"{name}: failed {len(failed)} times")
+        found += _crashing(name, runs)
         found += _outliving(name, runs, trace.cancelled_s.get(key.job))
         found += _missing_label(name, step, runs, trace.workers)
     found += _overload(trace, by_id)
@@ -85,6 +90,20 @@
     return found
 
 
+def _crashing(name: str, runs: list[emulated_worker.RunRecord]) -> list[str]:
+    """Finds a task that goes on starting after it has crashed workers."""
+    crashes = [n for n, run in enumerate(runs) if run.crashed_worker]
+    if len(crashes) < CRASHES_BEFORE_LIMIT:
+        return []
+    later = len(runs) - 1 - crashes[CRASHES_BEFORE_LIMIT - 1]
+    if later <= MAX_STARTS_AFTER_CRASHES:
+        return []
+    return [
+        f"{name}: started {later} times more after {CRASHES_BEFORE_LIMIT}"
+        " workers had crashed under it"
+    ]
+
+
 def _early(
     name: str,
     key: model.TaskKey,
--- a/tests/test_daemon/workflow_base.py
+++ b/tests/test_daemon/workflow_base.py
@@ -215,19 +215,20 @@
             worker.fault_rates = {}
             worker.poll_fault_rates = None
 
-    def check_invariants(self):
-        self.assertEqual(
-            [],
-            run_oracle.violations(
-                run_oracle.Trace(
-                    self.fleet.history,
-                    self.jobs.values(),
-                    self.fleet.reports,
-                    self.cancelled_s,
-                )
-            ),
+    def violations(self):
+        """Returns what the oracle finds in the trace so far."""
+        return run_oracle.violations(
+            run_oracle.Trace(
+                self.fleet.history,
+                self.jobs.values(),
+                self.fleet.reports,
+                self.cancelled_s,
+            )
         )
 
+    def check_invariants(self):
+        self.assertEqual([], self.violations())
+
 
 class ShardsTestCase(WorkflowTest):
     """Provides workers for two shards, in two data centres."""
