A task that crashes worker after worker is given up

Cause: a crash has no listed end. The run ended as lost, which counted for nothing, so the task started again without limit, beside those that had only stood there, and none could be told from the other.

Change: each task keeps how many workers crashed under runs that may be the cause: those that had not outlived their start, or all if every one had. The count is in its record, and so passes to the next owner, to borrowers and back. A task is given up after four, or after three if one of them can't be a run of another job; its job fails. Before that, suspects start apart from others, and from the second crash on where nothing else has just begun, on an eighth of the workers at most. Crashes of several workers at once, and silence without a restart, point at no one task; workers that drain may leave. A run that has outlived its start is cleared, and wholly after 10 s.

--- a/packages/wisterialug-core/src/wisterialug_core/workflow/job_entry.py
+++ b/packages/wisterialug-core/src/wisterialug_core/workflow/job_entry.py
@@ -38,6 +38,9 @@
         checkpoint="" if task.done else task.checkpoint,
         lent_to=task.lent_to,
         loans=task.loans,
+        crashes=task.crash_evidence.crashes,
+        unshared_crashes=task.crash_evidence.unshared_crashes,
+        outlived_start=task.active and task.crash_evidence.outlived_start,
     )
 
 
--- a/packages/wisterialug-core/src/wisterialug_core/workflow/job_table.py
+++ b/packages/wisterialug-core/src/wisterialug_core/workflow/job_table.py
@@ -4,7 +4,12 @@
 
 from wisterialug_core.decisions import resources
 from wisterialug_core.schema import workflow_pb2
-from wisterialug_core.workflow import job_entry, model, run_proofs
+from wisterialug_core.workflow import (
+    crash_evidence,
+    job_entry,
+    model,
+    run_proofs,
+)
 
 # Dropped job ids that are kept; their rows may be read for some more seconds.
 MAX_DROPPED = 10_000
@@ -31,11 +36,13 @@
     Attributes:
       jobs: Jobs by id; ended ones stay until their retention ends.
       dirty: Jobs whose record in the store is out of date.
+      suspects: Tasks under which workers have crashed, until they are cleared.
     """
 
     def __init__(self) -> None:
         self.jobs: dict[str, job_entry.JobEntry] = {}
         self.dirty: set[str] = set()
+        self.suspects: dict[model.TaskKey, model.Task] = {}
         self.open_jobs: dict[str, job_entry.JobEntry] = {}
         # Ids of recently dropped jobs, oldest first.
         self._dropped: dict[str, None] = {}
@@ -90,6 +97,7 @@
             task.checkpoint = record.checkpoint
             task.lent_to = record.lent_to
             task.loans = record.loans
+            self.restore_evidence(task, record)
             if record.done:
                 task.done = True
                 entry.note_done(key)
@@ -137,6 +145,7 @@
         task.progress = 0
         task.stalled_since_s = 0.0
         task.borrowed_s = 0.0
+        task.crash_evidence.begin_run()
         entry.active += 1
         self.dirty.add(task.key.job)
 
@@ -160,6 +169,8 @@
         if checkpoint:
             task.checkpoint = checkpoint
         self.dirty.add(task.key.job)
+        if end in {model.RunEnd.DONE, model.RunEnd.FAILED}:
+            task.crash_evidence.note_end()
         if end is model.RunEnd.DONE and not step.long_running:
             self._mark_done(entry, task)
         elif end is model.RunEnd.FAILED and not step.long_running:
@@ -168,6 +179,47 @@
                 self._finish(entry, workflow_pb2.JOB_FAILED, now_ms)
         self.close_if_ended(entry, now_ms)
 
+    def note_crash(
+        self, tasks: list[model.Task], *, ambiguous: bool = False
+    ) -> None:
+        """Records that a worker has crashed under active runs."""
+        crash_evidence.record_crash(
+            [(task.key.job, task.crash_evidence) for task in tasks],
+            ambiguous=ambiguous,
+        )
+        for task in tasks:
+            self.suspects[task.key] = task
+            self.dirty.add(task.key.job)
+
+    def restore_evidence(
+        self, task: model.Task, record: workflow_pb2.TaskRecord
+    ) -> None:
+        """Takes over what is recorded of crashes under a task."""
+        task.crash_evidence.restore(record)
+        if task.crash_evidence.suspect:
+            self.suspects[task.key] = task
+
+    def current_suspects(self) -> list[model.Task]:
+        """Returns the tasks whose next start may crash a worker."""
+        if self.suspects:
+            self.suspects = {
+                key: task
+                for key, task in self.suspects.items()
+                if task.crash_evidence.suspect
+                and not task.done
+                and key.job in self.open_jobs
+            }
+        return list(self.suspects.values())
+
+    def give_up(self, task: model.Task, now_ms: int) -> bool:
+        """Ends the job of a task that crashes workers; False if it had ended."""
+        entry = self.jobs[task.key.job]
+        if entry.final:
+            return False
+        self._finish(entry, workflow_pb2.JOB_FAILED, now_ms)
+        self.close_if_ended(entry, now_ms)
+        return True
+
     def complete_given_up(
         self, task: model.Task, run: int, now_ms: int
     ) -> bool:
@@ -201,12 +253,16 @@
         task.run = max(task.run, record.run)
         task.failures = max(task.failures, record.failures)
         task.checkpoint = record.checkpoint
+        self.restore_evidence(task, record)
         self.dirty.add(task.key.job)
         if entry.state == workflow_pb2.JOB_QUEUED:
             entry.state = workflow_pb2.JOB_RUNNING
         if record.done:
             self._mark_done(entry, task)
-        elif record.failures >= entry.job.policy.max_attempts:
+        elif (
+            record.failures >= entry.job.policy.max_attempts
+            or task.crash_evidence.guilty
+        ):
             self._finish(entry, workflow_pb2.JOB_FAILED, now_ms)
         elif record.lent_to:
             task.lent_to = ""
--- a/packages/wisterialug-core/src/wisterialug_core/workflow/loans.py
+++ b/packages/wisterialug-core/src/wisterialug_core/workflow/loans.py
@@ -72,11 +72,7 @@
                 or task.done
                 or task.lent_to != result.from_shard
                 or task.loans != record.loans
-                or not (record.done or record.lent_to or record.failures)
-            ):
-                continue
-            if record.failures == task.failures and not (
-                record.done or record.lent_to
+                or not _has_news(record, task)
             ):
                 continue
             self._jobs.add_result(task, record, now_ms)
@@ -105,6 +101,7 @@
             task.run = max(task.run, record.run)
             task.failures = max(task.failures, record.failures)
             task.checkpoint = record.checkpoint
+            self._jobs.restore_evidence(task, record)
             new = True
         if new:
             self._jobs.reopen(entry)
@@ -129,11 +126,9 @@
         records = [
             job_entry.record_of(task)
             for group, tasks in entry.groups.items()
-            if not entry.job.steps[group.step].long_running
-            and (entry.final or not any(t.active or t.pending for t in tasks))
+            if entry.final or not any(t.active or t.pending for t in tasks)
             for task in tasks
-            if task.loans
-            and (task.done or task.failures or task.lent_to == job_entry.HOME)
+            if task.loans and _is_reported(entry, task)
         ]
         if not records:
             return None
@@ -145,6 +140,26 @@
         )
 
 
+def _is_reported(entry: job_entry.JobEntry, task: model.Task) -> bool:
+    """Returns whether a borrowed task's own shard needs its state."""
+    if task.crash_evidence.guilty:
+        return True
+    if entry.job.steps[task.key.step].long_running:
+        return False
+    return task.done or task.failures > 0 or task.lent_to == job_entry.HOME
+
+
+def _has_news(record: workflow_pb2.TaskRecord, task: model.Task) -> bool:
+    """Returns whether a result tells more than is known of a lent task."""
+    return (
+        record.done
+        or bool(record.lent_to)
+        or record.failures > task.failures
+        or record.crashes > task.crash_evidence.crashes
+        or record.unshared_crashes > task.crash_evidence.unshared_crashes
+    )
+
+
 def _tasks(entry: job_entry.JobEntry) -> Iterator[model.Task]:
     for tasks in entry.groups.values():
         yield from tasks
--- a/packages/wisterialug-core/src/wisterialug_core/workflow/model.py
+++ b/packages/wisterialug-core/src/wisterialug_core/workflow/model.py
@@ -6,7 +6,7 @@
 import enum
 from typing import TYPE_CHECKING, NamedTuple, NewType
 
-from wisterialug_core.workflow import run_proofs
+from wisterialug_core.workflow import crash_evidence, run_proofs
 
 if TYPE_CHECKING:
     from wisterialug_core.decisions import resources
@@ -113,6 +113,9 @@
     borrowed_s: float = 0.0
     # Workers on which a run has failed.
     failed_on: tuple[str, ...] = ()
+    crash_evidence: crash_evidence.CrashEvidence = dataclasses.field(
+        default_factory=crash_evidence.CrashEvidence
+    )
     # Of the active run only.
     phase: Phase = Phase.STARTING
     phase_since_s: float = 0.0
@@ -131,6 +134,11 @@
         """Returns the task's name in calls to workers."""
         return ".".join(map(str, self.key))
 
+    @property
+    def group(self) -> GroupKey:
+        """Returns the group that the task belongs to."""
+        return GroupKey(*self.key[:3])
+
     @property
     def active(self) -> bool:
         """Returns whether a run of the task may be under way."""
--- a/packages/wisterialug-core/src/wisterialug_core/workflow/preemption.py
+++ b/packages/wisterialug-core/src/wisterialug_core/workflow/preemption.py
@@ -16,6 +16,7 @@
     model,
     step_placement,
     urgency,
+    worker_rating,
 )
 
 if TYPE_CHECKING:
@@ -64,7 +65,7 @@
     for group, _ in due:
         entry = jobs.jobs[group.job]
         step = jobs.step(group)
-        eligible = step_placement.eligible_workers(entry, step, usable)
+        eligible = worker_rating.eligible_workers(entry, step, usable)
         options = []
         for worker in eligible:
             count = worker.step_counts.get(group, 0)
--- a/packages/wisterialug-core/src/wisterialug_core/workflow/step_placement.py
+++ b/packages/wisterialug-core/src/wisterialug_core/workflow/step_placement.py
@@ -12,6 +12,7 @@
 
 from wisterialug_core.decisions import resources
 from wisterialug_core.workflow import (
+    crash_trials,
     fill_interference,
     finite_first,
     job_table,
@@ -112,6 +113,7 @@
         self._usable = usable
         self._now_s = now_s
         self._now_ms = now_ms
+        self._trials = crash_trials.Trials(jobs, usable)
         self._has_spare = workers.reserved_share() < STARVED_RESERVED_LIMIT
         # Workers held for long-running tasks, which get what becomes free.
         self._held: set[str] = set()
@@ -138,10 +140,14 @@
         """
         entry = self._jobs.jobs[group.job]
         step = entry.job.steps[group.step]
+        waiting = self._place_tried(group, waiting)
         starved = self._is_starved(entry, step)
-        if not starved and self._is_exhausted(entry, step):
+        if not waiting or (not starved and self._is_exhausted(entry, step)):
             return
-        candidates = eligible_workers(entry, step, self._usable)
+        candidates = worker_rating.eligible_workers(entry, step, self._usable)
+        candidates = [
+            w for w in candidates if not self._trials.is_closed(w, group.job)
+        ]
         if not step.long_running:
             candidates = [
                 w for w in candidates if w.report.id not in self._held
@@ -159,7 +165,7 @@
             )
             return
         queue = worker_rating.Candidates(
-            step, group, candidates, self._fill_rooms
+            step, group, candidates, self._fill_rooms, trials=self._trials
         )
         for task in waiting:
             worker = queue.best(task)
@@ -175,6 +181,36 @@
             self._reserve(task, worker)
             queue.update(worker)
 
+    def _place_tried(
+        self, group: model.GroupKey, waiting: list[model.Task]
+    ) -> list[model.Task]:
+        """Places suspects where they are tried; returns the other tasks."""
+        tried = [task for task in waiting if self._trials.applies_to(task)]
+        if not tried:
+            return waiting
+        entry = self._jobs.jobs[group.job]
+        step = entry.job.steps[group.step]
+        queue = worker_rating.Candidates(
+            step,
+            group,
+            [
+                w
+                for w in worker_rating.eligible_workers(
+                    entry, step, self._usable
+                )
+                if self._trials.admits(w, group.job)
+            ],
+            self._fill_rooms,
+            throttled=step.fills,
+        )
+        for task in tried:
+            worker = queue.best()
+            if worker is None:
+                break
+            self._reserve(task, worker)
+            queue.update(worker)
+        return [t for t in waiting if not self._trials.applies_to(t)]
+
     def _place_throttled(
         self,
         task: model.Task,
@@ -190,6 +226,8 @@
             self._reserve(task, worker)
 
     def _reserve(self, task: model.Task, worker: worker_table.Worker) -> None:
+        if task.crash_evidence.suspect:
+            self._trials.note_placed(worker.report.id, task)
         self.placements.append(
             _reserve(
                 task,
@@ -257,7 +295,7 @@
     """Returns whether one more task of a group fits at a useful pace."""
     step = entry.job.steps[group.step]
     usable = [w for w in workers.workers.values() if w.usable(now_s)]
-    candidates = eligible_workers(entry, step, usable)
+    candidates = worker_rating.eligible_workers(entry, step, usable)
     fill_rooms = worker_rating.FillRooms(interference)
     return (
         worker_rating.Candidates(step, group, candidates, fill_rooms).best()
@@ -283,21 +321,6 @@
     )
 
 
-def eligible_workers(
-    entry: job_entry.JobEntry,
-    step: workflow_pb2.Step,
-    usable: list[worker_table.Worker],
-) -> list[worker_table.Worker]:
-    """Returns the workers that are eligible for a step."""
-    service, label = entry.job.policy.service, step.required_label
-    return [
-        w
-        for w in usable
-        if w.report.service == service
-        and (not label or label in w.report.labels)
-    ]
-
-
 def _hold_worker(
     step: workflow_pb2.Step,
     group: model.GroupKey,
--- a/packages/wisterialug-core/src/wisterialug_core/workflow/worker_rating.py
+++ b/packages/wisterialug-core/src/wisterialug_core/workflow/worker_rating.py
@@ -11,7 +11,27 @@
     from collections.abc import Iterable
 
     from wisterialug_core.schema import workflow_pb2
-    from wisterialug_core.workflow import model, worker_table
+    from wisterialug_core.workflow import (
+        crash_trials,
+        job_entry,
+        model,
+        worker_table,
+    )
+
+
+def eligible_workers(
+    entry: job_entry.JobEntry,
+    step: workflow_pb2.Step,
+    usable: list[worker_table.Worker],
+) -> list[worker_table.Worker]:
+    """Returns the workers that are eligible for a step."""
+    service, label = entry.job.policy.service, step.required_label
+    return [
+        w
+        for w in usable
+        if w.report.service == service
+        and (not label or label in w.report.labels)
+    ]
 
 
 class _FillRoom(NamedTuple):
@@ -78,12 +98,15 @@
         fill_rooms: FillRooms,
         *,
         throttled: bool = False,
+        trials: crash_trials.Trials | None = None,
     ) -> None:
         self._step = step
         self._group = group
         self._need = job_table.reserved_amount(step)
         self._fill_rooms = fill_rooms
         self._throttled = throttled
+        self._trials = trials
+        self._has_suspects = trials is not None and trials.has_suspects
         self._heap: list[tuple[tuple, int, worker_table.Worker]] = []
         for number, worker in enumerate(workers):
             score = self._rate(worker)
@@ -98,20 +121,26 @@
 
         Some workers fail all that they start. A task that has failed is tried
         on a worker that has not, if there is one: it has few attempts left.
+        Likewise, a task under which a worker has crashed starts apart from
+        others, so that another crash shows whether it is the cause.
         """
         if not self._heap:
             return None
-        if task is not None and task.failures:
-            options = [
-                item
-                for item in self._heap
-                if item[2].report.id not in task.failed_on
-                and not item[2].health.suspect
-            ]
+        if task is not None and (
+            task.failures or task.crash_evidence.suspect or self._has_suspects
+        ):
+            options = [i for i in self._heap if self._suits(task, i[2])]
             if options:
                 return min(options)[2]
         return self._heap[0][2]
 
+    def _suits(self, task: model.Task, worker: worker_table.Worker) -> bool:
+        if task.failures and (
+            worker.report.id in task.failed_on or worker.health.suspect
+        ):
+            return False
+        return self._trials is None or self._trials.tells_apart(worker, task)
+
     def update(self, worker: worker_table.Worker) -> None:
         """Rates a worker again after a task was placed there."""
         if self._heap[0][2] is worker:
--- a/packages/wisterialug-core/src/wisterialug_core/workflow/worker_table.py
+++ b/packages/wisterialug-core/src/wisterialug_core/workflow/worker_table.py
@@ -42,6 +42,7 @@
       samples: Latest samples of its runs.
       fill_shares: Part of the processors that fill runs request, by image.
       changes: Number of reservations and releases so far.
+      drained: It has said that it drains, and may leave without a crash.
     """
 
     report: model.WorkerReport
@@ -72,6 +73,7 @@
     )
     fill_shares: dict[str, float] = dataclasses.field(default_factory=dict)
     changes: int = 0
+    drained: bool = False
 
     @property
     def rack(self) -> str:
@@ -153,6 +155,8 @@
             self.workers[report.id] = worker
         else:
             worker.report = report
+        if report.state is model.WorkerState.DRAINING:
+            worker.drained = True
         return worker
 
     def mark_absent(self, worker_id: str) -> None:
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/lost_worker.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/lost_worker.py
@@ -1,19 +1,26 @@
-"""Ends the runs of a worker that has crashed or can't be reached."""
+"""Ends the runs of a worker that has crashed or can't be reached.
+
+A crash has no listed end. Where a worker is only silent, its runs may have
+crashed it as well: else a task whose worker stays down would start for ever.
+"""
 
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
 
-from wisterialug_core.workflow import model
+from wisterialug_core.workflow import leases, model, run_proofs
 from wisterialug_daemon import logs
-from wisterialug_daemon.workflow import clock
+from wisterialug_daemon.workflow import clock, owner_logs
 
 if TYPE_CHECKING:
-    from wisterialug_core.workflow import run_proofs, worker_table
+    from wisterialug_core.workflow import worker_table
     from wisterialug_daemon.workflow import owner
 
 # Runs that one log line names, those that began last.
 MAX_LOGGED_RUNS = 4
+# Workers that fall silent within this time have a cause in common: polls fail
+# at once where a process ends, and after this time where it is cut off.
+COINCIDENCE_S = 0.3
 
 
 def end_runs(
@@ -30,10 +37,66 @@
     if not tasks:
         return
     _log(worker, tasks, proof)
+    if not worker.drained:
+        shard_owner.shard_jobs.note_crash(
+            [task for task in tasks if not task.orders.unsent],
+            # A worker that is only silent may be cut off.
+            ambiguous=proof is not run_proofs.Proof.RESTARTED
+            or _is_coincident(shard_owner, worker),
+        )
     for task in tasks:
         # The end of one member of a gang may have ended another.
         if task.worker == worker.report.id:
             shard_owner.end_run(task, model.RunEnd.LOST, "", proof)
+    for task in tasks:
+        if task.crash_evidence.guilty:
+            _give_up(shard_owner, task)
+
+
+def _is_coincident(
+    shard_owner: owner.ShardOwner, worker: worker_table.Worker
+) -> bool:
+    """Returns whether another worker was lost at the same moment."""
+    silent_since_s = worker.silent_since_s or clock.now_s()
+    return any(
+        other is not worker
+        and other.silent_since_s
+        and abs(other.silent_since_s - silent_since_s) < COINCIDENCE_S
+        for other in shard_owner.shard_workers.workers.values()
+    )
+
+
+def check_expiry(
+    shard_owner: owner.ShardOwner, worker: worker_table.Worker
+) -> None:
+    """Ends the runs of a worker whose lease has surely expired."""
+    expiry_s = (
+        worker.lease.latest_expiry_s()
+        if worker.fenced
+        else leases.earlier_expiry_s(
+            shard_owner.acquired_s, shard_owner.cfg.lease_ms
+        )
+    )
+    if clock.now_s() > expiry_s:
+        end_runs(shard_owner, worker, run_proofs.Proof.LEASE_EXPIRED)
+
+
+def _give_up(shard_owner: owner.ShardOwner, task: model.Task) -> None:
+    """Fails the job of a task that crashes its workers."""
+    evidence = task.crash_evidence
+    if not shard_owner.shard_jobs.give_up(task, clock.wall_ms()):
+        return
+    logs.event(
+        "task-given-up",
+        task=task.name,
+        run=task.run,
+        crashes=evidence.crashes,
+        unshared=evidence.unshared_crashes,
+    )
+    entry = shard_owner.shard_jobs.jobs[task.key.job]
+    if entry.home:
+        owner_logs.log_job_end(entry)
+    shard_owner.wake()
 
 
 def _log(
@@ -57,6 +120,9 @@
                 "run": task.run,
                 "phase": task.phase.value,
                 "age_s": round(silent_since_s - task.phase_since_s, 3),
+                "crashes": task.crash_evidence.crashes,
+                "unshared": task.crash_evidence.unshared_crashes,
+                "outlived": task.crash_evidence.outlived_start,
             }
             for task in latest[:MAX_LOGGED_RUNS]
         ],
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/worker_session.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/worker_session.py
@@ -7,7 +7,7 @@
 import eventlet
 import eventlet.event
 
-from wisterialug_core.workflow import leases, model, run_proofs
+from wisterialug_core.workflow import model, run_proofs
 from wisterialug_daemon import logs
 from wisterialug_daemon.workflow import (
     clock,
@@ -141,7 +141,7 @@
     def _poll(self) -> None:
         worker = self.worker
         if not worker.report.address:
-            self._check_expiry(clock.now_s())
+            lost_worker.check_expiry(self._owner, worker)
             eventlet.sleep(RETRY_INTERVAL_S)
             return
         if self._uncommitted:
@@ -158,7 +158,8 @@
         ):
             draining = worker.report.state is model.WorkerState.DRAINING
             wait_ms = LONG_POLL_MS
-            if draining or self.pacing.may_interfere():
+            suspected = self._owner.shard_jobs.suspects.keys() & worker.runs
+            if draining or suspected or self.pacing.may_interfere():
                 wait_ms = SHORT_POLL_MS
         durable_seq = self._durable_seq()
         clock_ms = worker.lease.clock_ms
@@ -249,6 +250,7 @@
                 self._owner.greenlets.spawn(self._stop_stray, run.task, run.run)
                 continue
             task.orders.confirm(report.reply.received_s)
+            self._note_survival(task, report.reply.received_s)
             if run.checkpoint:
                 task.checkpoint = run.checkpoint
             if task.phase in {model.Phase.STARTING, model.Phase.ADOPTED}:
@@ -258,6 +260,13 @@
                 self._owner.wake()
             self._check_progress(task, run, report.reply.received_s)
 
+    def _note_survival(self, task: model.Task, now_s: float) -> None:
+        was_suspect = task.crash_evidence.suspect
+        task.crash_evidence.note_running(now_s - task.orders.confirmed_s)
+        if was_suspect and not task.crash_evidence.suspect:
+            # Its worker takes other runs again.
+            self._owner.wake()
+
     def _stop_stray(self, name: str, run: int) -> None:
         logs.event(
             "stray-stop-ordered",
@@ -374,7 +383,6 @@
         ):
             self._owner.lose("a worker has seen a higher epoch")
             return
-        now_s = clock.now_s()
         if isinstance(exc, errors.NoAnswerError):
             worker.unanswered_polls += 1
         else:
@@ -382,18 +390,5 @@
         if not worker.silent_since_s:
             worker.silent_since_s = sent_s
             logs.event("worker-silent", worker=worker.report.id, error=str(exc))
-        self._check_expiry(now_s)
+        lost_worker.check_expiry(self._owner, worker)
         eventlet.sleep(RETRY_INTERVAL_S)
-
-    def _check_expiry(self, now_s: float) -> None:
-        expiry_s = (
-            self.worker.lease.latest_expiry_s()
-            if self.worker.fenced
-            else leases.earlier_expiry_s(
-                self._owner.acquired_s, self._owner.cfg.lease_ms
-            )
-        )
-        if now_s > expiry_s and self.worker.runs:
-            lost_worker.end_runs(
-                self._owner, self.worker, run_proofs.Proof.LEASE_EXPIRED
-            )
--- a/tests/test_daemon/test_deadly_tasks.py
+++ b/tests/test_daemon/test_deadly_tasks.py
@@ -117,13 +117,16 @@
 
     duration_s = 0.8
 
+    def run_s(self, task):
+        return super().run_s(task) if not self.lasts(task) else 1000
+
     def test_job_that_stood_beside_crashes_is_given_up(self):
-        self.start_nodes(2, workers=6)
+        self.start_nodes(2, workers=8)
         self.owner()
         jobs = [self.submit(step(3)) for _ in range(6)]
         lasting = self.submit(step(4, long_running=True))
-        for _ in range(6):
-            eventlet.sleep(1.5)
+        for _ in range(4):
+            eventlet.sleep(3)
             for name in self.rng.sample(sorted(self.fleet.workers), 2):
                 self.fleet.crash_and_restart(name)
             jobs.append(self.submit(step(3)))
