A task runs again on a worker that restarts under its id (failing tests)

The emulator learns the term: a worker may start again under its id, with counts, fence and a clock that start anew, its entry outlasts the restart, and an order that is carried out late reaches whoever has the id.

--- a/packages/wisterialug-standins/src/wisterialug_standins/emulated_registry.py
+++ b/packages/wisterialug-standins/src/wisterialug_standins/emulated_registry.py
@@ -28,15 +28,19 @@
       workers: Workers that exist, by id.
       reports: Reports of all workers at registration, including removed ones.
       restart_s: How long a worker is down after a task has crashed it.
+      restarts_keep_ids: Workers start again under the ids that they had.
       capacities: Each worker's capacities, with the times since which it has
         them.
     """
 
     def __init__(self) -> None:
         self.restart_s = RESTART_S
+        self.restarts_keep_ids = False
         self.workers: dict[str, emulated_worker.EmulatedWorker] = {}
         self.reports: dict[str, model.WorkerReport] = {}
         self.capacities: dict[str, list[tuple[float, resources.Amount]]] = {}
+        # Entries of crashed workers that are still listed.
+        self._lingering: dict[str, model.WorkerReport] = {}
         self._list_version = 0
 
     def add(
@@ -89,16 +93,23 @@
         """Crashes a worker, which is back at its address after `restart_s`."""
         report = self.workers[name].report
         self.crash(name)
+        if self.restarts_keep_ids:
+            # The entry outlasts a restart within a few check-ins.
+            self._lingering[name] = report
         eventlet.spawn_after(self.restart_s, self._restart, report)
 
     def _restart(self, report: model.WorkerReport) -> None:
-        base, _, number = report.id.partition(".")
+        name = report.id
+        self._lingering.pop(name, None)
+        if not self.restarts_keep_ids:
+            base, _, number = name.partition(".")
+            name = model.WorkerId(f"{base}.{int(number or 0) + 1}")
         new = dataclasses.replace(
-            report,
-            id=model.WorkerId(f"{base}.{int(number or 0) + 1}"),
-            state=model.WorkerState.READY,
+            report, id=name, state=model.WorkerState.READY
         )
-        self._register(emulated_worker.EmulatedWorker(new))
+        # Its clock starts anew, as do its counts.
+        booted_s = clock.now_s()
+        self._register(emulated_worker.EmulatedWorker(new, booted_s))
 
     def set_capacity(self, name: str, cpu_millicores: int) -> None:
         """Changes what a worker has, and says, while it runs."""
@@ -129,7 +140,10 @@
     def read(self) -> result.Result[sources.WorkerChanges, errors.StoreError]:
         """Reads the whole list."""
         eventlet.sleep(LATENCY_S)
-        reports = tuple(w.report for w in self.workers.values() if w.listed)
+        reports = (
+            *(w.report for w in self.workers.values() if w.listed),
+            *self._lingering.values(),
+        )
         return result.Ok(
             sources.WorkerChanges(reports, (), True, self._list_version)
         )
--- a/packages/wisterialug-standins/src/wisterialug_standins/emulated_worker.py
+++ b/packages/wisterialug-standins/src/wisterialug_standins/emulated_worker.py
@@ -5,6 +5,8 @@
 import dataclasses
 from typing import TYPE_CHECKING
 
+from wisterialug_daemon.workflow import clock
+
 if TYPE_CHECKING:
     from wisterialug_core.workflow import model
     from wisterialug_daemon.workflow import worker_calls
@@ -38,6 +40,7 @@
     """One incarnation of a worker.
 
     Attributes:
+      booted_s: When its clock was zero.
       listed: The registry has its entry.
       unreachable: Receives no calls.
       drops_replies: Carries out calls without replying.
@@ -49,6 +52,7 @@
     """
 
     report: model.WorkerReport
+    booted_s: float = 0.0
     listed: bool = True
     unreachable: bool = False
     drops_replies: bool = False
@@ -65,3 +69,7 @@
     next_seq: int = 1
     running: dict[str, RunRecord] = dataclasses.field(default_factory=dict)
     highest_ended_run: dict[str, int] = dataclasses.field(default_factory=dict)
+
+    def clock_ms(self) -> int:
+        """Returns its monotonic clock."""
+        return int((clock.now_s() - self.booted_s) * 1000)
--- a/packages/wisterialug-standins/src/wisterialug_standins/emulated_workers.py
+++ b/packages/wisterialug-standins/src/wisterialug_standins/emulated_workers.py
@@ -156,7 +156,7 @@
             return result.Err(errors.NoAnswerError("unreachable"))
         return result.Ok(
             worker_calls.RunReport(
-                worker_calls.Reply(_clock_ms(), sent_s, clock.now_s()),
+                worker_calls.Reply(target.clock_ms(), sent_s, clock.now_s()),
                 tuple(
                     worker_calls.RunningRun(
                         r.task, r.run, "", self._progress(target, r), 0
@@ -225,7 +225,9 @@
             return result.Err(errors.NoAnswerError(fault and fault.value))
         if error is not None:
             return result.Err(error)
-        return result.Ok(worker_calls.Reply(_clock_ms(), sent_s, clock.now_s()))
+        return result.Ok(
+            worker_calls.Reply(target.clock_ms(), sent_s, clock.now_s())
+        )
 
     def _arrive_late(
         self,
@@ -234,9 +236,13 @@
             [emulated_worker.EmulatedWorker], errors.WorkerError | None
         ],
     ) -> None:
-        """Carries out an order, unless its worker has crashed meanwhile."""
-        if self.workers.get(target.report.id) is target:
-            carry_out(target)
+        """Carries out an order, unless its worker has crashed meanwhile.
+
+        A worker that is back under its id takes it for its own.
+        """
+        present = self.workers.get(target.report.id)
+        if present is not None:
+            carry_out(present)
 
     def _start_run(
         self,
@@ -246,7 +252,7 @@
         if order.epoch < target.fence:
             return errors.RejectedError(errors.Rejection.FENCED)
         target.fence = order.epoch
-        if order.deadline_ms < _clock_ms():
+        if order.deadline_ms < target.clock_ms():
             return errors.RejectedError(errors.Rejection.EXPIRED)
         self._extend(target, order.deadline_ms)
         current = target.running.get(order.task)
@@ -287,7 +293,7 @@
         self, target: emulated_worker.EmulatedWorker, deadline_ms: int | None
     ) -> None:
         if deadline_ms is not None:
-            longest = _clock_ms() + MAX_LEASE_MS
+            longest = target.clock_ms() + MAX_LEASE_MS
             target.deadline_ms = max(
                 target.deadline_ms, min(deadline_ms, longest)
             )
@@ -366,7 +372,7 @@
                 self._tick_worker(worker)
 
     def _tick_worker(self, worker: emulated_worker.EmulatedWorker) -> None:
-        lapsed = worker.deadline_ms < _clock_ms()
+        lapsed = worker.deadline_ms < worker.clock_ms()
         if lapsed:
             worker.lapsed_s = clock.now_s()
         for record in list(worker.running.values()):
@@ -384,7 +390,3 @@
                 failed = self._fails(record.task)
                 end = model.RunEnd.FAILED if failed else model.RunEnd.DONE
                 self._end_run(worker, record, end)
-
-
-def _clock_ms() -> int:
-    return int(clock.now_s() * 1000)
