An adopted member of a gang waits for ever for the others

What callers saw: a gang that never ends, on a platform that does not end lone members by itself; elsewhere one that loses the time until it does.

Cause: the others were stopped once, when one member ended. A member that a new owner had adopted and not heard of yet can't be stopped then, and nobody looked again once it was listed.

Change: a gang of which a member waits is looked for in each round, and its active members are stopped. The test failed before: a member runs on, its owner is lost, and the next one hears of the other member first.

--- a/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/dispatcher.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/dispatcher.py
@@ -42,12 +42,18 @@
         for entry in list(self._owner.shard_jobs.open_jobs.values()):
             if not entry.active:
                 continue
-            for tasks in entry.groups.values():
+            for group, tasks in entry.groups.items():
+                # Members that a new owner adopts may be without the others.
+                incomplete = entry.job.steps[group.step].gang and any(
+                    task.pending for task in tasks
+                )
                 for task in tasks:
                     if not task.active:
                         continue
                     if entry.final:
                         self.stop(task, "job ended")
+                    elif incomplete:
+                        self.stop(task, "gang is not complete")
                     elif self._must_move(task, entry.job):
                         self.stop(task, "worker is draining")
 
--- a/tests/test_daemon/test_unsent_starts.py
+++ b/tests/test_daemon/test_unsent_starts.py
@@ -69,3 +69,24 @@
         self.fleet.add("w1")
         self.wait_for_state(job, workflow_pb2.JOB_COMPLETED)
         self.assertEqual(["w1"], [run.worker for run in self.fleet.history])
+
+
+class AdoptedGangTest(workflow_base.WorkflowTest):
+    """An owner is lost when only one member of a gang has begun."""
+
+    def test_adopted_member_of_a_gang_waits_for_ever_for_the_others(self):
+        self.start_nodes(2, workers=2)
+        owner = self.owner()
+        faults = order_faults.OrderFault
+        self.fleet.next_start_faults.extend([faults.UNANSWERED, faults.LOST])
+        job = self.submit(step(2, gang=True, max_per_worker=1))
+        self.wait_for(lambda: not self.fleet.next_start_faults, 5)
+        # The next owner hears of the other member first.
+        worker = self.fleet.workers[self.fleet.history[0].worker]
+        worker.poll_fault_rates = {faults.LOST: 1.0}
+        self.kill_node(owner)
+        self.owner()
+        eventlet.sleep(0.3)
+        worker.poll_fault_rates = None
+        self.wait_for_state(job, workflow_pb2.JOB_COMPLETED, 15)
+        self.check_invariants()
