A worker that restarts under its id is another incarnation

What callers saw: a task runs again after a run of it was done and acknowledged (TWICE), on a worker that has restarted under the id that it had.

Cause: the id was taken for the incarnation. The number of the last end that had been seen outlived the restart; the ends of the new incarnation, numbered from 1 again, were skipped as known, acknowledged by the next poll, and forgotten by the worker. A later report did not list the run, so it ended as lost and started again. The same held for the fence, the clock and lease, the counts of polls, the health, the samples, and the worker in the record of a run.

Change: model.Incarnation is the one key of a worker, NAME@BORN, in tables, in records and in logs; only the adapter's calls use the name. A report with another birth is an error that names it. The runs of the incarnation before are moved to the next one, which is asked under a raised epoch, once that is recorded: what it does not list then has ended, and what is still on its way carries a lower one. After a silence nothing is acknowledged until the worker has answered. A lease that was granted by an earlier clock counts at its longest. A list that is read late does not bring an earlier incarnation back.

--- a/packages/wisterialug-core/src/wisterialug_core/workflow/job_table.py
+++ b/packages/wisterialug-core/src/wisterialug_core/workflow/job_table.py
@@ -149,6 +149,16 @@
         entry.active += 1
         self.dirty.add(task.key.job)
 
+    def move_run(self, task: model.Task, worker: str) -> None:
+        """Records that an active run may be on its worker's next incarnation.
+
+        Orders for it are rejected once that one has answered.
+        """
+        task.worker = worker
+        task.phase = model.Phase.ADOPTED
+        task.orders = run_proofs.StartOrders(earlier_epoch=True)
+        self.dirty.add(task.key.job)
+
     def mark_running(self, task: model.Task) -> None:
         """Marks the task's job as running: a worker has begun a run."""
         entry = self.jobs[task.key.job]
--- a/packages/wisterialug-core/src/wisterialug_core/workflow/model.py
+++ b/packages/wisterialug-core/src/wisterialug_core/workflow/model.py
@@ -11,7 +11,9 @@
 if TYPE_CHECKING:
     from wisterialug_core.decisions import resources
 
-WorkerId = NewType("WorkerId", str)
+# One life of a worker: NAME@BORN, or NAME where its birth is not known. A worker
+# may start again under the name that it had.
+Incarnation = NewType("Incarnation", str)
 JobId = NewType("JobId", str)
 
 
@@ -75,13 +77,13 @@
     """A worker's entry in the registry.
 
     Attributes:
-      id: Incarnation of the worker; a restart brings a new id.
+      id: Incarnation of the worker; each restart brings another one.
       address: Host and port.
       service: Pool that the worker belongs to.
       remaining_ms: Time until a draining worker leaves; 0 where unknown.
     """
 
-    id: WorkerId
+    id: Incarnation
     address: str
     service: str
     data_centre: str
@@ -90,6 +92,11 @@
     labels: tuple[str, ...]
     remaining_ms: int
 
+    @property
+    def name(self) -> str:
+        """Returns the name under which the worker is registered."""
+        return registered_name(self.id)
+
     @property
     def rack(self) -> str:
         """Returns the label of the worker's rack, the last label."""
@@ -154,6 +161,21 @@
         return not (self.worker or self.done or self.lent_to)
 
 
+def incarnation(name: str, born_ms: int) -> Incarnation:
+    """Returns the incarnation of a worker that started at this Unix time."""
+    return Incarnation(f"{name}@{born_ms}" if born_ms else name)
+
+
+def registered_name(worker: str) -> str:
+    """Returns the name that all incarnations of a worker share."""
+    return worker.partition("@")[0]
+
+
+def born_ms(worker: str) -> int:
+    """Returns when an incarnation started, by its own clock; 0 if unknown."""
+    return int(worker.partition("@")[2] or 0)
+
+
 def parse_task_name(name: str) -> TaskKey | None:
     """Parses a task's name; None if it is malformed."""
     parts = name.split(".")
--- a/packages/wisterialug-core/src/wisterialug_core/workflow/worker_table.py
+++ b/packages/wisterialug-core/src/wisterialug_core/workflow/worker_table.py
@@ -43,6 +43,10 @@
       fill_shares: Part of the processors that fill runs request, by image.
       changes: Number of reservations and releases so far.
       drained: It has said that it drains, and may leave without a crash.
+      least_epoch: Epoch from which orders are for this incarnation: those for
+        an earlier one carry a lower epoch, and it rejects them once asked
+        under this one.
+      reborn: An earlier incarnation is known, whose orders may reach it.
     """
 
     report: model.WorkerReport
@@ -74,6 +78,8 @@
     fill_shares: dict[str, float] = dataclasses.field(default_factory=dict)
     changes: int = 0
     drained: bool = False
+    least_epoch: int = 0
+    reborn: bool = False
 
     @property
     def rack(self) -> str:
@@ -146,6 +152,12 @@
 
     def __init__(self) -> None:
         self.workers: dict[str, Worker] = {}
+        # Latest incarnation of each name.
+        self._current: dict[str, Worker] = {}
+
+    def current(self, name: str) -> Worker | None:
+        """Returns the latest incarnation of a worker that is known."""
+        return self._current.get(name)
 
     def update(self, report: model.WorkerReport) -> Worker:
         """Adds or updates a worker from its registry entry."""
@@ -153,12 +165,29 @@
         if worker is None:
             worker = Worker(report)
             self.workers[report.id] = worker
+            self._current[report.name] = worker
         else:
             worker.report = report
         if report.state is model.WorkerState.DRAINING:
             worker.drained = True
         return worker
 
+    def add_recorded(self, worker: model.Incarnation) -> None:
+        """Adds a worker that is known from the record of a run only."""
+        if worker not in self.workers:
+            self.update(
+                model.WorkerReport(
+                    id=worker,
+                    address="",
+                    service="",
+                    data_centre="",
+                    state=model.WorkerState.ABSENT,
+                    capacity=resources.ZERO,
+                    labels=(),
+                    remaining_ms=0,
+                )
+            )
+
     def mark_absent(self, worker_id: str) -> None:
         """Marks a worker whose registry entry is gone."""
         worker = self.workers[worker_id]
@@ -177,7 +206,20 @@
 
     def remove(self, worker_id: str) -> None:
         """Removes a worker without runs."""
-        del self.workers[worker_id]
+        worker = self.workers.pop(worker_id)
+        if self._current.get(worker.report.name) is worker:
+            del self._current[worker.report.name]
+
+    def replace(self, old: Worker, report: model.WorkerReport) -> Worker:
+        """Adds a worker's next incarnation, or one that was taken for ended."""
+        new = self.update(report)
+        self._current[report.name] = new
+        new.gone = False
+        new.reborn = True
+        new.fenced = False
+        old.gone = True
+        self.mark_absent(old.report.id)
+        return new
 
     def reserve(self, task: model.Task, step: workflow_pb2.Step) -> None:
         """Reserves resources for a task's active run."""
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/dispatcher.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/dispatcher.py
@@ -143,7 +143,7 @@
                 entry.job.spec,
                 task.checkpoint,
                 deadline_ms,
-                self._owner.epoch,
+                self._owner.epoch_for(worker),
             )
             self._owner.session(worker)
             orders = task.orders
@@ -229,6 +229,9 @@
         if isinstance(exc, errors.OtherLifeError):
             self._owner.session(worker).note_restart()
             return
+        if worker.gone:
+            # Its next incarnation was asked under a higher epoch meanwhile.
+            return
         if isinstance(exc, errors.UnwellError):
             worker.health.record_refusal(now_s)
         elif isinstance(exc, errors.RejectedError):
@@ -264,7 +267,7 @@
                     worker.report,
                     task.name,
                     run,
-                    self._owner.epoch,
+                    self._owner.epoch_for(worker),
                     ORDER_TIMEOUT_S,
                 )
                 if outcome.is_ok():
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/errors.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/errors.py
@@ -9,6 +9,7 @@
 from wisterialug_daemon import errors
 
 if TYPE_CHECKING:
+    from wisterialug_core.workflow import model
     from wisterialug_daemon.workflow import row_store
 
 
@@ -89,11 +90,21 @@
         return "not sent; other orders to the worker await a response"
 
 
+@dataclasses.dataclass(frozen=True)
 class OtherLifeError(WorkerError):
-    """Reports that the worker has restarted under another ID."""
+    """Reports that another incarnation of the worker has answered.
+
+    Attributes:
+      incarnation: The one that has carried the call out; None if it refused,
+        since it has another name.
+    """
+
+    incarnation: model.Incarnation | None = None
 
     def __str__(self) -> str:
-        return "worker has restarted under another ID"
+        if self.incarnation is None:
+            return "worker has restarted under another name"
+        return f"worker has restarted as {self.incarnation}"
 
 
 @dataclasses.dataclass(frozen=True)
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/fill_pacing.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/fill_pacing.py
@@ -122,7 +122,7 @@
                 task.name,
                 run,
                 percent,
-                self._owner.epoch,
+                self._owner.epoch_for(self.worker),
                 ORDER_TIMEOUT_S,
             )
             if outcome.is_ok():
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/lost_worker.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/lost_worker.py
@@ -29,13 +29,36 @@
     proof: run_proofs.Proof,
 ) -> None:
     """Ends all runs of a worker, which has reported none of these ends."""
-    tasks = [
+    tasks = active_tasks(shard_owner, worker)
+    guilty = record_crash(shard_owner, worker, tasks, proof)
+    for task in tasks:
+        # The end of one member of a gang may have ended another.
+        if task.worker == worker.report.id:
+            shard_owner.end_run(task, model.RunEnd.LOST, "", proof)
+    for task in guilty:
+        give_up(shard_owner, task)
+
+
+def active_tasks(
+    shard_owner: owner.ShardOwner, worker: worker_table.Worker
+) -> list[model.Task]:
+    """Returns the tasks with an active run on a worker."""
+    return [
         task
         for task in map(shard_owner.shard_jobs.task, worker.runs)
         if task is not None and task.worker == worker.report.id
     ]
+
+
+def record_crash(
+    shard_owner: owner.ShardOwner,
+    worker: worker_table.Worker,
+    tasks: list[model.Task],
+    proof: run_proofs.Proof,
+) -> list[model.Task]:
+    """Records a crash for the runs of a worker; returns tasks to give up."""
     if not tasks:
-        return
+        return []
     _log(worker, tasks, proof)
     if not worker.drained:
         shard_owner.shard_jobs.note_crash(
@@ -44,13 +67,7 @@
             ambiguous=proof is not run_proofs.Proof.RESTARTED
             or _is_coincident(shard_owner, worker),
         )
-    for task in tasks:
-        # The end of one member of a gang may have ended another.
-        if task.worker == worker.report.id:
-            shard_owner.end_run(task, model.RunEnd.LOST, "", proof)
-    for task in tasks:
-        if task.crash_evidence.guilty:
-            _give_up(shard_owner, task)
+    return [task for task in tasks if task.crash_evidence.guilty]
 
 
 def _is_coincident(
@@ -81,7 +98,7 @@
         end_runs(shard_owner, worker, run_proofs.Proof.LEASE_EXPIRED)
 
 
-def _give_up(shard_owner: owner.ShardOwner, task: model.Task) -> None:
+def give_up(shard_owner: owner.ShardOwner, task: model.Task) -> None:
     """Fails the job of a task that crashes its workers."""
     evidence = task.crash_evidence
     if not shard_owner.shard_jobs.give_up(task, clock.wall_ms()):
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/owner.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/owner.py
@@ -8,7 +8,6 @@
 import eventlet.event
 import result
 
-from wisterialug_core.decisions import resources
 from wisterialug_core.workflow import (
     fill_interference,
     job_table,
@@ -78,6 +77,7 @@
     ) -> None:
         self.cfg = cfg
         self.rows = rows
+        self._first_epoch = rows.epoch
         self.shard_jobs = job_table.JobTable()
         self.shard_workers = worker_table.WorkerTable()
         self.interference = fill_interference.InterferenceModel()
@@ -102,9 +102,22 @@
 
     @property
     def epoch(self) -> int:
-        """Returns the fencing token of all orders."""
+        """Returns the recorded fencing token."""
         return self.rows.epoch
 
+    def epoch_for(self, worker: worker_table.Worker) -> int:
+        """Returns the fencing token of orders to a worker.
+
+        It stays the same for an incarnation: calls may overtake each other.
+        """
+        return max(self._first_epoch, worker.least_epoch)
+
+    def raise_epoch(self) -> int:
+        """Returns an epoch above that of all orders, to be recorded next."""
+        self.rows.next_epoch = self.rows.epoch + 1
+        self.wake()
+        return self.rows.next_epoch
+
     def wake(self) -> None:
         """Triggers the next scheduling cycle at once."""
         if not self._wake.ready():
@@ -241,19 +254,7 @@
         return at_home and loan.job.id not in self.shard_jobs.jobs
 
     def _adopt(self, task: model.Task) -> None:
-        if task.worker not in self.shard_workers.workers:
-            self.shard_workers.update(
-                model.WorkerReport(
-                    id=model.WorkerId(task.worker),
-                    address="",
-                    service="",
-                    data_centre="",
-                    state=model.WorkerState.ABSENT,
-                    capacity=resources.ZERO,
-                    labels=(),
-                    remaining_ms=0,
-                )
-            )
+        self.shard_workers.add_recorded(model.Incarnation(task.worker))
         self.shard_workers.reserve(task, self.shard_jobs.step(task.key))
 
     def session(
@@ -347,7 +348,10 @@
         self._dispatcher.stop_unwanted()
         self._dispatcher.make_room(now_s)
         self._lender.check(now_s)
-        renewal_due = now_s - self.rows.renewed_s >= RENEWAL_INTERVAL_S
+        renewal_due = (
+            now_s - self.rows.renewed_s >= RENEWAL_INTERVAL_S
+            or self.rows.next_epoch > self.rows.epoch
+        )
         if self.shard_jobs.dirty or renewal_due:
             self._commit(renewal_due)
             eventlet.sleep(COMMIT_SPACING_S)
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/settings.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/settings.py
@@ -14,6 +14,7 @@
       boot: Unique for each start of the process.
       lease_ms: How long a worker keeps its runs without contact to an owner;
         longer than a takeover takes.
+      longest_lease_ms: A worker shortens longer leases to this.
       state_kept_s: How long the state of an ended job can be queried.
       processors: Processors that the process may use.
       link_mbps: Bandwidth of the VM's link, in megabits per second.
@@ -24,6 +25,7 @@
     boot: str
     data_centre: str
     lease_ms: int
+    longest_lease_ms: int
     state_kept_s: float
     stop_within_s: float
     processors: float = 1.0
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/shard_feeds.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/shard_feeds.py
@@ -6,13 +6,18 @@
 
 import eventlet
 
+from wisterialug_core.workflow import model
 from wisterialug_daemon import logs
-from wisterialug_daemon.workflow import errors, records, shard_store
+from wisterialug_daemon.workflow import (
+    errors,
+    records,
+    shard_store,
+    succession,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-    from wisterialug_core.workflow import model
     from wisterialug_daemon.workflow import (
         layout_keeper,
         owner,
@@ -45,9 +50,9 @@
         self.inbox_cursor = 0
         self.registry_seen = False
         self._keeper = keeper
-        # All listed workers, of any shard.
+        # All listed workers, of any shard, by name.
         self._listed: dict[str, model.WorkerReport] = {}
-        # Workers whose rack has no shard yet.
+        # Names of workers whose rack has no shard yet.
         self._unplaced: set[str] = set()
         self._owner = owner
         self._store = store
@@ -91,16 +96,20 @@
             self._listed.clear()
             self._unplaced.clear()
         self._apply_reports(changes.reports)
-        removed = set(changes.removed)
+        removed = set()
+        for name in changes.removed:
+            entry = self._listed.pop(name, None)
+            if entry is not None:
+                removed.add(entry.id)
         if changes.complete:
             present = {report.id for report in changes.reports}
             removed |= set(self._owner.shard_workers.workers) - present
-        for worker_id in removed:
-            self._listed.pop(worker_id, None)
-            self._unplaced.discard(worker_id)
+        for worker_id in sorted(removed):
+            self._unplaced.discard(model.registered_name(worker_id))
             if worker_id in self._owner.shard_workers.workers:
                 logs.event("worker-state", worker=worker_id, state="absent")
                 self._owner.shard_workers.mark_absent(worker_id)
+        succession.resolve_unlisted(self._owner, self._listed)
         if not self.registry_seen:
             self.registry_seen = True
             for worker in list(self._owner.shard_workers.workers.values()):
@@ -109,11 +118,11 @@
     def _apply_reports(self, reports: Iterable[model.WorkerReport]) -> None:
         for report in reports:
             shard = self._keeper.layout.shard_of(report)
-            self._listed[report.id] = report
+            self._listed[report.name] = report
             if shard is None:
-                self._unplaced.add(report.id)
+                self._unplaced.add(report.name)
                 continue
-            self._unplaced.discard(report.id)
+            self._unplaced.discard(report.name)
             if records.shard_name(shard) != self._owner.rows.shard:
                 continue
             known = self._owner.shard_workers.workers.get(report.id)
@@ -126,8 +135,12 @@
                     rack=report.rack,
                 )
                 self._owner.wake()
-            worker = self._owner.shard_workers.update(report)
-            self._owner.session(worker)
+            current = self._owner.shard_workers.current(report.name)
+            if current is None or current.report.id == report.id:
+                worker = self._owner.shard_workers.update(report)
+                self._owner.session(worker)
+            elif not succession.is_stale(current, report):
+                succession.replace(self._owner, current, report)
 
     def _watch_inbox(self) -> None:
         while not self._owner.lost:
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/shard_recorder.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/shard_recorder.py
@@ -103,7 +103,7 @@
         spare = lending.spare_capacity(self._jobs, workers, now_s, now_ms)
         return workflow_pb2.Ownership(
             owner=self._owner.cfg.owner_id,
-            epoch=self._owner.epoch,
+            epoch=self._rows.next_epoch,
             renewal=self._rows.ownership.renewal + 1,
             waiting=self._jobs.waiting_by_route(),
             backlog_core_ms=backlog_core_ms,
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/shard_store.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/shard_store.py
@@ -75,7 +75,8 @@
     """Reads and changes one shard's rows under one epoch.
 
     Attributes:
-      epoch: Fencing token of this owner.
+      epoch: Fencing token of this owner, as recorded.
+      next_epoch: The one that the next renewal records.
       confirmed_s: When the last successful change was sent.
     """
 
@@ -91,6 +92,7 @@
         self.shard = shard
         self.ownership = ownership
         self.epoch = ownership.epoch
+        self.next_epoch = ownership.epoch
         self.confirmed_s = sent_s
         self.renewed_s = sent_s
         self._owner_version = version
@@ -251,6 +253,7 @@
         if renewal is not None:
             self._owner_version = version
             self.ownership = renewal
+            self.epoch = renewal.epoch
             self.renewed_s = sent_s
         if failing_since_s:
             logs.event(
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/worker_session.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/worker_session.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 from typing import TYPE_CHECKING
 
 import eventlet
@@ -15,6 +16,8 @@
     fill_pacing,
     lost_worker,
     owner_logs,
+    run_health,
+    succession,
     worker_calls,
 )
 
@@ -32,6 +35,7 @@
 # lost, it would never expire.
 MAX_SILENCE_S = 1.2
 RETRY_INTERVAL_S = 0.25
+EPOCH_WAIT_S = 0.02
 # How long the next poll waits for run ends to be committed.
 COMMIT_WAIT_S = 0.4
 # A draining worker may leave at any moment; with a short lease its runs are
@@ -39,8 +43,6 @@
 DRAINING_LEASE_MS = 1500
 # For draining workers and fill runs that may interfere: both need fast action.
 SHORT_POLL_MS = 450
-# A run without progress for this long has stalled, unless it is throttled.
-STALL_TIMEOUT_S = 1.8
 # A worker lists at most this many run ends in one report.
 MAX_LISTED_ENDS = 500
 
@@ -140,6 +142,11 @@
 
     def _poll(self) -> None:
         worker = self.worker
+        if worker.least_epoch > self._owner.epoch:
+            # Not asked until the epoch is recorded.
+            self._owner.wake()
+            eventlet.sleep(EPOCH_WAIT_S)
+            return
         if not worker.report.address:
             lost_worker.check_expiry(self._owner, worker)
             eventlet.sleep(RETRY_INTERVAL_S)
@@ -161,21 +168,24 @@
             suspected = self._owner.shard_jobs.suspects.keys() & worker.runs
             if draining or suspected or self.pacing.may_interfere():
                 wait_ms = SHORT_POLL_MS
-        durable_seq = self._durable_seq()
+        # After a silence another incarnation may answer, whose ends have the
+        # same numbers.
+        acked_seq = 0 if worker.silent_since_s else self._durable_seq()
         clock_ms = worker.lease.clock_ms
         sent_s = clock.now_s()
+        epoch = self._owner.epoch_for(worker)
         outcome = self._owner.calls.poll(
             worker.report,
-            self._owner.epoch,
-            durable_seq,
+            epoch,
+            acked_seq,
             self._deadline_ms(sent_s),
             wait_ms,
             wait_ms / 1000 + RESPONSE_TIMEOUT_S,
         )
-        if self._owner.lost:
+        if self._owner.lost or worker.gone or epoch < worker.least_epoch:
             return
         if outcome.is_ok():
-            self._acked_seq = max(self._acked_seq, durable_seq)
+            self._acked_seq = max(self._acked_seq, acked_seq)
             self._handle_report(outcome.ok_value, clock_ms)
         else:
             self._handle_error(outcome.err_value, sent_s)
@@ -235,10 +245,12 @@
         self._detect_lost(report, clock_ms)
         if not worker.fenced:
             worker.fenced = True
-            # An earlier owner may have extended the lease just before.
+            # An earlier owner may have extended the lease just before; what
+            # was granted by the clock of an earlier incarnation, at the most.
+            cfg = self._owner.cfg
+            lease_ms = cfg.longest_lease_ms if worker.reborn else cfg.lease_ms
             worker.lease.deadline_ms = max(
-                worker.lease.deadline_ms,
-                reply.clock_ms + self._owner.cfg.lease_ms,
+                worker.lease.deadline_ms, reply.clock_ms + lease_ms
             )
             self._owner.wake()
         self.pacing.adjust(report)
@@ -258,7 +270,7 @@
                 task.phase_since_s = report.reply.received_s
                 self._owner.shard_jobs.mark_running(task)
                 self._owner.wake()
-            self._check_progress(task, run, report.reply.received_s)
+            run_health.check_progress(self._owner, self, task, run, report)
 
     def _note_survival(self, task: model.Task, now_s: float) -> None:
         was_suspect = task.crash_evidence.suspect
@@ -278,29 +290,10 @@
             self.worker.report,
             name,
             run,
-            self._owner.epoch,
+            self._owner.epoch_for(self.worker),
             RESPONSE_TIMEOUT_S,
         )
 
-    def _check_progress(
-        self, task: model.Task, run: worker_calls.RunningRun, now_s: float
-    ) -> None:
-        step = self._owner.shard_jobs.step(task.key)
-        if (
-            run.progress != task.progress
-            or step.long_running
-            or step.gang
-            or self.pacing.is_throttled(task)
-            or task.phase is not model.Phase.RUNNING
-        ):
-            task.progress = run.progress
-            task.stalled_since_s = 0.0
-        elif not task.stalled_since_s:
-            task.stalled_since_s = now_s
-        elif now_s - task.stalled_since_s > STALL_TIMEOUT_S:
-            self.worker.health.set_aside(now_s)
-            self._owner.stop_run(task, "makes no progress")
-
     def _process_ends(self, report: worker_calls.RunReport) -> None:
         for ended in report.ended:
             if ended.seq <= self._highest_seq:
@@ -312,7 +305,7 @@
                 continue
             self._uncommitted[ended.seq] = task.key.job
             self._owner.shard_jobs.mark_running(task)
-            self._record_health(ended, task, report.reply.received_s)
+            run_health.record_end(self.worker, ended, task, report)
             self._owner.end_run(
                 task, ended.end, ended.checkpoint, run_proofs.Proof.REPORTED
             )
@@ -338,25 +331,6 @@
             owner_logs.log_job_end(entry)
         self._owner.wake()
 
-    def _record_health(
-        self, ended: worker_calls.EndedRun, task: model.Task, now_s: float
-    ) -> None:
-        health = self.worker.health
-        if ended.end is model.RunEnd.DONE:
-            health.record_success()
-        elif set(task.failed_on) - {self.worker.report.id}:
-            # It has failed elsewhere too: the task is at fault.
-            return
-        elif ended.end is model.RunEnd.FAILED and health.record_failure(
-            task.key.job, now_s
-        ):
-            logs.event(
-                "worker-set-aside",
-                worker=self.worker.report.id,
-                failed_jobs=len(health.failed_jobs),
-                until_s=round(health.aside_until_s - now_s, 3),
-            )
-
     def _detect_lost(
         self, report: worker_calls.RunReport, clock_ms: int
     ) -> None:
@@ -375,7 +349,11 @@
     def _handle_error(self, exc: errors.WorkerError, sent_s: float) -> None:
         worker = self.worker
         if isinstance(exc, errors.OtherLifeError):
-            self.note_restart()
+            if exc.incarnation is None:
+                self.note_restart()
+                return
+            report = dataclasses.replace(worker.report, id=exc.incarnation)
+            succession.replace(self._owner, worker, report)
             return
         if (
             isinstance(exc, errors.RejectedError)
--- a/packages/wisterialug-standins/src/wisterialug_standins/emulated_registry.py
+++ b/packages/wisterialug-standins/src/wisterialug_standins/emulated_registry.py
@@ -25,8 +25,8 @@
     """Adds, drains and crashes workers, and lists them.
 
     Attributes:
-      workers: Workers that exist, by id.
-      reports: Reports of all workers at registration, including removed ones.
+      workers: Workers that exist, by name.
+      reports: Reports of all incarnations at registration.
       restart_s: How long a worker is down after a task has crashed it.
       restarts_keep_ids: Workers start again under the ids that they had.
       capacities: Each worker's capacities, with the times since which it has
@@ -54,7 +54,7 @@
         return self._register(
             emulated_worker.EmulatedWorker(
                 model.WorkerReport(
-                    id=model.WorkerId(name),
+                    id=model.Incarnation(name),
                     address=f"{name}:1",
                     service="app",
                     data_centre=data_centre,
@@ -99,16 +99,18 @@
         eventlet.spawn_after(self.restart_s, self._restart, report)
 
     def _restart(self, report: model.WorkerReport) -> None:
-        name = report.id
+        name = report.name
         self._lingering.pop(name, None)
         if not self.restarts_keep_ids:
             base, _, number = name.partition(".")
-            name = model.WorkerId(f"{base}.{int(number or 0) + 1}")
-        new = dataclasses.replace(
-            report, id=name, state=model.WorkerState.READY
-        )
+            name = f"{base}.{int(number or 0) + 1}"
         # Its clock starts anew, as do its counts.
         booted_s = clock.now_s()
+        new = dataclasses.replace(
+            report,
+            id=model.incarnation(name, clock.wall_ms()),
+            state=model.WorkerState.READY,
+        )
         self._register(emulated_worker.EmulatedWorker(new, booted_s))
 
     def set_capacity(self, name: str, cpu_millicores: int) -> None:
@@ -116,7 +118,8 @@
         worker = self.workers[name]
         amount = worker.report.capacity._replace(cpu_millicores=cpu_millicores)
         worker.report = dataclasses.replace(worker.report, capacity=amount)
-        self.capacities[name].append((clock.now_s(), amount))
+        changes = self.capacities[worker.report.id]
+        changes.append((clock.now_s(), amount))
         self._list_version += 1
 
     def successor(
@@ -131,7 +134,7 @@
     def _register(
         self, worker: emulated_worker.EmulatedWorker
     ) -> emulated_worker.EmulatedWorker:
-        self.workers[worker.report.id] = worker
+        self.workers[worker.report.name] = worker
         self.reports[worker.report.id] = worker.report
         self.capacities[worker.report.id] = [(0.0, worker.report.capacity)]
         self._list_version += 1
--- a/packages/wisterialug-standins/src/wisterialug_standins/emulated_workers.py
+++ b/packages/wisterialug-standins/src/wisterialug_standins/emulated_workers.py
@@ -148,12 +148,14 @@
         reply = self._deliver(worker, timeout_s, carry_out, is_poll=True)
         if reply.is_err():
             return reply
-        target = self.workers.get(worker.id)
+        target = self.workers.get(worker.name)
         until_s = sent_s + wait_ms / 1000
         while target and not target.ended and clock.now_s() < until_s:
             eventlet.sleep(emulated_registry.TICK_S)
         if target is None or target.unreachable or target.drops_replies:
             return result.Err(errors.NoAnswerError("unreachable"))
+        if target.report.id != worker.id:
+            return result.Err(errors.OtherLifeError(target.report.id))
         return result.Ok(
             worker_calls.RunReport(
                 worker_calls.Reply(target.clock_ms(), sent_s, clock.now_s()),
@@ -191,7 +193,7 @@
         """Delivers a call with a fault, drawn by the worker's rates if None."""
         sent_s = clock.now_s()
         eventlet.sleep(emulated_registry.LATENCY_S)
-        target = self.workers.get(worker.id)
+        target = self.workers.get(worker.name)
         if target is None and self.successor(worker) is not None:
             return result.Err(errors.OtherLifeError())
         if target is None or target.unreachable:
@@ -240,7 +242,7 @@
 
         A worker that is back under its id takes it for its own.
         """
-        present = self.workers.get(target.report.id)
+        present = self.workers.get(target.report.name)
         if present is not None:
             carry_out(present)
 
@@ -284,7 +286,7 @@
         record: emulated_worker.RunRecord,
     ) -> None:
         """Crashes a worker under a run that is still active there."""
-        name = target.report.id
+        name = target.report.name
         if record.end is None and self.workers.get(name) is target:
             record.crashed_worker = True
             self.crash_and_restart(name)
--- a/packages/wisterialug-standins/src/wisterialug_standins/order_experiment.py
+++ b/packages/wisterialug-standins/src/wisterialug_standins/order_experiment.py
@@ -238,7 +238,7 @@
         for number in range(user.workers):
             worker = self.workers.update(
                 model.WorkerReport(
-                    id=model.WorkerId(f"w{number}"),
+                    id=model.Incarnation(f"w{number}"),
                     address="",
                     service=SERVICE,
                     data_centre="d",
--- a/packages/wisterialug-standins/src/wisterialug_standins/vm_links.py
+++ b/packages/wisterialug-standins/src/wisterialug_standins/vm_links.py
@@ -339,7 +339,9 @@
         before: Boundary | None = None,
         after: Boundary | None = None,
     ) -> result.Result[T, errors.WorkerError]:
-        cut = functools.partial(self._link.worker_cuts.get, worker.id, Cut.NONE)
+        cut = functools.partial(
+            self._link.worker_cuts.get, worker.name, Cut.NONE
+        )
         outcome = self._link.call(carry_out, cut, timeout_s, before, after)
         if outcome is None:
             return result.Err(errors.NoAnswerError("no answer on the link"))
--- a/packages/wisterialug-standins/src/wisterialug_standins/workflow_demo.py
+++ b/packages/wisterialug-standins/src/wisterialug_standins/workflow_demo.py
@@ -57,6 +57,7 @@
             node=name,
             boot="1",
             data_centre="dc1",
+            longest_lease_ms=emulated_workers.MAX_LEASE_MS,
             lease_ms=LEASE_MS,
             state_kept_s=60.0,
             stop_within_s=5.0,
--- /dev/null
+++ b/tests/test_daemon/test_succession.py
@@ -0,0 +1,157 @@
+"""A worker restarts under its name, and calls meant for the earlier one arrive."""
+
+import dataclasses
+
+import eventlet
+
+from tests.test_daemon import workflow_base
+from wisterialug_core.schema import workflow_pb2
+from wisterialug_core.workflow import model
+from wisterialug_daemon.workflow import records, row_store
+from wisterialug_standins import order_faults
+
+step = workflow_base.step
+Fault = order_faults.OrderFault
+
+
+class RestartedWorkerTest(workflow_base.WorkflowTest):
+    """One of two workers restarts under its name."""
+
+    duration_s = 1.0
+
+    def start_fleet(self, workers=1):
+        self.fleet.restarts_keep_ids = True
+        self.start_nodes(1, workers=workers)
+        self.owner()
+
+    def restart(self, name="w0"):
+        before = self.fleet.workers[name]
+        self.fleet.crash_and_restart(name)
+        self.wait_for(lambda: name in self.fleet.workers, 5)
+        self.assertIsNot(before, self.fleet.workers[name])
+
+    def epoch(self):
+        value = self.store.value(records.owner("s0"))
+        return workflow_pb2.Ownership.FromString(value).epoch
+
+    def finish(self, *jobs):
+        for job in jobs:
+            self.wait_for_state(job, workflow_pb2.JOB_COMPLETED, 20)
+        eventlet.sleep(1)
+        self.check_invariants()
+
+    def test_ends_of_the_next_incarnation_are_taken_for_known(self):
+        self.start_fleet()
+        self.finish(self.submit(step(6)))
+        self.restart()
+        self.finish(self.submit(step(3)))
+        self.assertEqual(9, len(self.fleet.history))
+
+    def test_late_start_runs_on_the_next_incarnation(self):
+        # It arrives 0.5 s after the restart; the task runs there, or elsewhere.
+        self.start_fleet()
+        self.fleet.order_delay_s = (1.5, 1.5)
+        self.fleet.next_start_faults.extend([Fault.LATE, Fault.LOST])
+        job = self.submit(step(1))
+        self.wait_for(lambda: len(self.fleet.next_start_faults) < 2, 5)
+        self.restart()
+        self.fleet.add("w1")
+        self.finish(job)
+        self.assertEqual(1, len(self.fleet.history))
+
+    def test_start_sent_before_the_restart_was_seen_is_adopted(self):
+        self.start_fleet()
+        self.finish(self.submit(step(1)))
+        # Idle workers are not asked, so the restart is seen with the start.
+        self.fleet.set_listed("w0", listed=False)
+        eventlet.sleep(0.6)
+        self.fleet.set_listed("w0", listed=True)
+        eventlet.sleep(0.6)
+        self.restart()
+        self.finish(self.submit(step(2)))
+        self.assertEqual(3, len(self.fleet.history))
+
+    def test_epoch_is_recorded_before_the_next_incarnation_is_asked(self):
+        self.start_fleet()
+        self.finish(self.submit(step(2)))
+        before = self.epoch()
+        self.restart()
+        self.wait_for(lambda: self.fleet.workers["w0"].fence > before, 5)
+        self.assertGreaterEqual(self.epoch(), self.fleet.workers["w0"].fence)
+        self.kill_node("n0")
+        self.start_node("n1")
+        self.finish(self.submit(step(2)))
+        self.assertGreater(self.epoch(), before + 1)
+
+    def test_next_owner_takes_runs_of_an_ended_incarnation_for_active(self):
+        self.start_fleet()
+        job = self.submit(step(2))
+        self.wait_for(lambda: len(self.fleet.history) == 2, 5)
+        self.kill_node("n0")
+        self.restart()
+        self.start_node("n1")
+        self.finish(job)
+        self.assertEqual([1, 1, 2, 2], [r.run for r in self.fleet.history])
+
+    def test_records_without_a_birth_are_of_an_earlier_incarnation(self):
+        # An earlier version of the scheduler recorded names only.
+        self.start_fleet()
+        self.restart()
+        worker = self.fleet.workers["w0"]
+        job = self.submit(step(1))
+        self.wait_for(lambda: self.fleet.history, 5)
+        self.kill_node("n0")
+        ref = records.progress("s0", job)
+        progress = workflow_pb2.Progress.FromString(self.store.value(ref))
+        progress.tasks[0].worker = "w0"
+        self.store.commit(
+            row_store.Transaction(
+                conditions=(),
+                writes=((ref, progress.SerializeToString()),),
+            ),
+            1.0,
+        )
+        self.start_node("n1")
+        self.finish(job)
+        self.assertEqual(
+            [worker.report.id], [r.worker for r in self.fleet.history]
+        )
+
+
+class StaleListTest(workflow_base.WorkflowTest):
+    """The list shows the earlier incarnation again."""
+
+    duration_s = 1.0
+
+    def test_worker_is_replaced_by_its_earlier_incarnation(self):
+        self.fleet.restarts_keep_ids = True
+        self.start_nodes(1, workers=1)
+        self.owner()
+        first = self.fleet.workers["w0"].report
+        self.fleet.crash_and_restart("w0")
+        self.wait_for(lambda: "w0" in self.fleet.workers, 5)
+        job = self.submit(step(2))
+        self.wait_for(lambda: len(self.fleet.history) == 2, 5)
+        worker = self.fleet.workers["w0"]
+        present, worker.report = worker.report, first
+        self.fleet.set_listed("w0", listed=True)
+        eventlet.sleep(0.5)
+        worker.report = present
+        self.fleet.set_listed("w0", listed=True)
+        self.wait_for_state(job, workflow_pb2.JOB_COMPLETED)
+        self.assertEqual(2, len(self.fleet.history))
+        self.check_invariants()
+
+
+class IncarnationTest(workflow_base.WorkflowTest):
+    def test_incarnations_share_a_name(self):
+        worker = model.incarnation("w0", 5)
+        self.assertEqual("w0", model.registered_name(worker))
+        self.assertEqual(5, model.born_ms(worker))
+        self.assertNotEqual(model.incarnation("w0", 6), worker)
+
+    def test_worker_without_a_birth_is_its_name(self):
+        self.assertEqual("w0", model.incarnation("w0", 0))
+        self.assertEqual(0, model.born_ms("w0"))
+        report = self.fleet.add("w0").report
+        self.assertEqual("w0", dataclasses.replace(report).name)
--- a/tests/test_daemon/test_worker_sessions.py
+++ b/tests/test_daemon/test_worker_sessions.py
@@ -11,7 +11,7 @@
 
 def report(state=model.WorkerState.READY):
     return model.WorkerReport(
-        id=model.WorkerId("w0"),
+        id=model.Incarnation("w0"),
         address="w0:1",
         service="app",
         data_centre="dc1",
--- a/tests/test_daemon/test_workflow_intake.py
+++ b/tests/test_daemon/test_workflow_intake.py
@@ -47,6 +47,7 @@
             node="n",
             boot="1",
             data_centre="d",
+            longest_lease_ms=10_000,
             lease_ms=4000,
             state_kept_s=60,
             stop_within_s=5,
--- a/tests/test_daemon/workflow_base.py
+++ b/tests/test_daemon/workflow_base.py
@@ -45,6 +45,7 @@
             boot=boot,
             data_centre="dc1",
             lease_ms=4000,
+            longest_lease_ms=emulated_workers.MAX_LEASE_MS,
             state_kept_s=state_kept_s,
             stop_within_s=5,
             processors=processors,
--- a/tests/test_platform/test_decoding.py
+++ b/tests/test_platform/test_decoding.py
@@ -56,6 +56,12 @@
         self.assertIs(model.WorkerState.DRAINING, draining.state)
         self.assertEqual(1500, draining.remaining_ms)
 
+    def test_birth_tells_incarnations_apart(self):
+        first, second = self.decode(born=1764), self.decode(born=1765)
+        self.assertNotEqual(first.id, second.id)
+        self.assertEqual("i-1", first.name)
+        self.assertEqual("i-1", second.name)
+
     def test_invalid_entries_are_ignored(self):
         cases = [
             {"address": "missing"},
@@ -68,6 +74,7 @@
             {"capacity": {"cpu": "many"}},
             {"capacity": []},
             {"labels": [1]},
+            {"born": "today"},
             {"labels": 5},
         ]
         for changes in cases:
--- a/tests/test_platform/test_workers.py
+++ b/tests/test_platform/test_workers.py
@@ -1,5 +1,8 @@
 """Tests of calls to the platform's workers."""
 
+import dataclasses
+import json
+
 import eventlet
 import result
 import testtools
@@ -10,7 +13,7 @@
 from wisterialug_daemon.workflow import clock, errors
 
 WORKER = model.WorkerReport(
-    id=model.WorkerId("w"),
+    id=model.Incarnation("w"),
     address="10.0.0.9:80",
     service="app",
     data_centre="dc",
@@ -35,6 +38,49 @@
         return result.Err(http_client.NoResponseError("silent"))
 
 
+class AnsweringClient:
+    """Answers each call with the same fields."""
+
+    def __init__(self, **fields):
+        self.fields = fields
+        self.headers = []
+
+    def call(self, address, method, path, body, timeout_s, headers):
+        del address, method, path, body, timeout_s
+        self.headers.append(headers)
+        body = json.dumps(self.fields).encode()
+        return result.Ok(http_client.HttpResponse(200, {}, body))
+
+
+class RestartedWorkerTest(testtools.TestCase):
+    """A worker answers that has started again under its id."""
+
+    BORN_MS = 1764
+
+    def poll(self, **fields):
+        client = AnsweringClient(clock_ms=5, running=[], finished=[], **fields)
+        worker = dataclasses.replace(
+            WORKER, id=model.incarnation("w", self.BORN_MS)
+        )
+        outcome = workers.HttpWorkerCalls(client).poll(
+            worker, 1, 0, None, 0, TIMEOUT_S
+        )
+        self.assertEqual(
+            "w", client.headers[0][workers.EXPECTED_INSTANCE_HEADER]
+        )
+        return outcome
+
+    def test_report_of_another_incarnation_is_taken_for_its_own(self):
+        self.assertTrue(self.poll(born=self.BORN_MS).is_ok())
+        exc = self.poll(born=self.BORN_MS + 1).err_value
+        expected = model.incarnation("w", self.BORN_MS + 1)
+        self.assertEqual(errors.OtherLifeError(expected), exc)
+
+    def test_unreadable_birth_is_no_answer(self):
+        exc = self.poll(born="today").err_value
+        self.assertIsInstance(exc, errors.NoAnswerError)
+
+
 class SilentWorkerTest(testtools.TestCase):
     ORDERS = 12
 
