A forwarded request crashes instance after instance

A repeatable request whose instance does not answer is sent three times. A VM that it was forwarded to did so as well, for each attempt of the one that forwards, so that one request could take nine instances.

Change: a forwarded request that may have run is not sent again; the VM that has forwarded it counts the attempts. What was not run is still retried there. The test failed before (3 instances, not 1).

--- a/packages/wisterialug-daemon/src/wisterialug_daemon/router.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/router.py
@@ -203,7 +203,10 @@
         """Returns whether a request may be sent again."""
         if time.monotonic() >= req.deadline:
             return False
-        if last.outcome is messages.Outcome.UNKNOWN and not req.repeatable:
+        if last.outcome is messages.Outcome.UNKNOWN and (
+            # The VM that has forwarded it counts the attempts.
+            not req.repeatable or req.hops
+        ):
             return False
         if last.reason not in _RETRYABLE_REASONS:
             return False
--- a/tests/test_daemon/test_unanswered_requests.py
+++ b/tests/test_daemon/test_unanswered_requests.py
@@ -129,6 +129,24 @@
         )
         self.assertEqual(peer_pb2.OUTCOME_UNKNOWN, resp.outcome)
 
+    def test_forwarded_request_crashes_instance_after_instance(self):
+        self.make_router([UNANSWERED, UNANSWERED, UNANSWERED]).on_forward(
+            peer_pb2.ForwardRequest(
+                customer="c",
+                service="s",
+                method="GET",
+                path="/",
+                remaining_ms=5000,
+                hops=forwarding.MAX_HOPS,
+                repeatable=True,
+            )
+        )
+        self.assertEqual(1, self.upstream.sent)
+
+    def test_request_crashes_no_more_instances_than_it_has_attempts(self):
+        self.handle([UNANSWERED] * 9)
+        self.assertEqual(router.MAX_ATTEMPTS, self.upstream.sent)
+
     def test_later_answer_counts(self):
         response = self.handle([UNANSWERED, ANSWER])
         self.assertEqual(messages.Outcome.DONE, response.outcome)
