An end is acknowledged only while its worker has just answered

After a silence none was sent; now none is sent either when the latest report is older than half a second, as after an idle time.

--- a/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/worker_session.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/worker_session.py
@@ -36,6 +36,9 @@
 MAX_SILENCE_S = 1.2
 RETRY_INTERVAL_S = 0.25
 EPOCH_WAIT_S = 0.02
+# Age of the latest report up to which its ends are acknowledged: shorter than a
+# restart takes, longer than a commit is waited for.
+MAX_ACK_DELAY_S = 0.5
 # How long the next poll waits for run ends to be committed.
 COMMIT_WAIT_S = 0.4
 # A draining worker may leave at any moment; with a short lease its runs are
@@ -168,9 +171,7 @@
             suspected = self._owner.shard_jobs.suspects.keys() & worker.runs
             if draining or suspected or self.pacing.may_interfere():
                 wait_ms = SHORT_POLL_MS
-        # After a silence another incarnation may answer, whose ends have the
-        # same numbers.
-        acked_seq = 0 if worker.silent_since_s else self._durable_seq()
+        acked_seq = self._durable_seq() if self._has_just_answered() else 0
         clock_ms = worker.lease.clock_ms
         sent_s = clock.now_s()
         epoch = self._owner.epoch_for(worker)
@@ -190,6 +191,15 @@
         else:
             self._handle_error(outcome.err_value, sent_s)
 
+    def _has_just_answered(self) -> bool:
+        """Returns whether no other incarnation can have taken its place.
+
+        It would forget ends that have the same numbers, unseen.
+        """
+        worker = self.worker
+        age_s = clock.now_s() - worker.lease.clock_received_s
+        return not worker.silent_since_s and age_s < MAX_ACK_DELAY_S
+
     def _awaits_absence(self) -> bool:
         """Returns whether a run was stopped before it was known to begin.
 
--- a/tests/test_daemon/test_succession.py
+++ b/tests/test_daemon/test_succession.py
@@ -3,6 +3,7 @@
 import dataclasses
 
 import eventlet
+import result
 
 from tests.test_daemon import workflow_base
 from wisterialug_core.schema import workflow_pb2
@@ -18,6 +19,8 @@
     """One of two workers restarts under its name."""
 
     duration_s = 1.0
+    # By then a worker has answered a poll, also after one without an answer.
+    POLLED_S = 3.0
 
     def start_fleet(self, workers=1):
         self.fleet.restarts_keep_ids = True
@@ -62,20 +65,50 @@
     def test_start_sent_before_the_restart_was_seen_is_adopted(self):
         self.start_fleet()
         self.finish(self.submit(step(1)))
-        # Idle workers are not asked, so the restart is seen with the start.
-        self.fleet.set_listed("w0", listed=False)
-        eventlet.sleep(0.6)
-        self.fleet.set_listed("w0", listed=True)
-        eventlet.sleep(0.6)
+        # Idle workers are not asked, and the list is read late.
+        listed = self.fleet.read()
+        read, self.fleet.read = self.fleet.read, lambda: listed
         self.restart()
-        self.finish(self.submit(step(2)))
+        job = self.submit(step(2))
+        self.wait_for(lambda: len(self.fleet.history) == 3, 5)
+        # Another worker has room for what is taken for lost.
+        other = self.fleet.add("w1").report
+        changes = listed.ok_value
+        changes = dataclasses.replace(
+            changes, reports=(*changes.reports, other)
+        )
+        listed = result.Ok(changes)
+        eventlet.sleep(self.POLLED_S)
+        self.fleet.read = read
+        self.finish(job)
         self.assertEqual(3, len(self.fleet.history))
 
+    def test_next_incarnation_forgets_ends_that_were_not_seen(self):
+        self.start_fleet()
+        self.finish(self.submit(step(6)))
+        # Its restart is not seen until a run there has ended.
+        listed = self.fleet.read()
+        read, self.fleet.read = self.fleet.read, lambda: listed
+        self.restart()
+        worker = self.fleet.workers["w0"]
+        worker.poll_fault_rates = {Fault.LOST: 1.0}
+        job = self.submit(step(1))
+        self.wait_for(lambda: worker.ended, 5)
+        worker.poll_fault_rates = None
+        eventlet.sleep(self.POLLED_S)
+        self.fleet.read = read
+        self.finish(job)
+        self.assertEqual(7, len(self.fleet.history))
+
     def test_epoch_is_recorded_before_the_next_incarnation_is_asked(self):
         self.start_fleet()
         self.finish(self.submit(step(2)))
         before = self.epoch()
+        self.store.down = True
         self.restart()
+        eventlet.sleep(1)
+        self.assertEqual(0, self.fleet.workers["w0"].fence)
+        self.store.down = False
         self.wait_for(lambda: self.fleet.workers["w0"].fence > before, 5)
         self.assertGreaterEqual(self.epoch(), self.fleet.workers["w0"].fence)
         self.kill_node("n0")
