A task of the product's own scheduler crashes worker after worker

A repeatable task whose worker restarts was returned to the queue each time, without limit.

Change: a task keeps how many workers in a row have restarted before its attempt was reported for a second; after four it has failed. Its record keeps the count, so the next owner goes on. An attempt that outlives its start begins anew, so that a task that only stands beside restarts is not given up (second test).

--- a/packages/wisterialug-core/src/wisterialug_core/decisions/task_registry.py
+++ b/packages/wisterialug-core/src/wisterialug_core/decisions/task_registry.py
@@ -28,6 +28,9 @@
 )
 
 ChunkKey = tuple[str, int]
+# Workers that may restart in a row soon after a task has started there: it may
+# have crashed them, and would take one after the other.
+MAX_EARLY_CRASHES = 4
 
 
 @dataclasses.dataclass(frozen=True)
@@ -126,19 +129,34 @@
         task.reason = reason
         self.dirty.add(self.chunk_of[name])
 
-    def mark_lost(self, name: str, reason: str) -> None:
-        """Handles a task whose attempt ended without a report."""
+    def mark_lost(
+        self, name: str, reason: str, *, restarted: bool = False
+    ) -> None:
+        """Handles a task whose attempt ended without a report.
+
+        Args:
+          name: The task.
+          reason: Why its attempt was lost.
+          restarted: Its worker has restarted, maybe because of the task.
+        """
         self.counters.lost += 1
         job = self.jobs[task_job(name)]
         task = self.tasks[name]
         if job.cancelled:
             self.finish(name, work_pb2.TASK_STATE_CANCELLED, "cancelled")
+        elif restarted and self._crashes_workers(task):
+            self.finish(name, work_pb2.TASK_STATE_FAILED, reason)
         elif job.repeatable:
             task.evictions += 1
             self.requeue(name)
         else:
             self.finish(name, work_pb2.TASK_STATE_UNKNOWN, reason)
 
+    def _crashes_workers(self, task: work_pb2.Task) -> bool:
+        """Counts a restart; returns whether the task starts no more."""
+        task.early_crashes += 1
+        return task.early_crashes >= MAX_EARLY_CRASHES
+
     def unload(self, key: ChunkKey) -> None:
         """Unloads a chunk whose tasks are all durably final."""
         chunk = self.chunks.get(key)
--- a/packages/wisterialug-core/src/wisterialug_core/decisions/worker_record.py
+++ b/packages/wisterialug-core/src/wisterialug_core/decisions/worker_record.py
@@ -36,6 +36,8 @@
     sent: bool = False
     stopping: bool = False
     progress_ms: int = 0
+    # When the worker first reported it.
+    running_since: float | None = None
 
 
 @dataclasses.dataclass
--- a/packages/wisterialug-core/src/wisterialug_core/decisions/worker_sync.py
+++ b/packages/wisterialug-core/src/wisterialug_core/decisions/worker_sync.py
@@ -14,6 +14,8 @@
 # A task that failed on this many workers is not retried.
 MAX_FAILED_WORKERS = 3
 LEASE_MARGIN_RATIO = 0.1
+# An attempt that is reported this long has not crashed its worker by starting.
+OUTLIVED_S = 1.0
 
 
 class WorkerSync:
@@ -141,8 +143,12 @@
             attempt.need = attempt.need.at_least(used)
             attempt.progress_ms = running.progress_ms
             record.health.on_progress(running.progress_ms)
+            if attempt.running_since is None:
+                attempt.running_since = record.answered_at
             task = self._tasks.tasks.get(running.task)
             if task is not None and task.attempt == running.attempt:
+                if record.answered_at - attempt.running_since >= OUTLIVED_S:
+                    task.early_crashes = 0
                 task.progress_ms = running.progress_ms
                 if task.state == work_pb2.TASK_STATE_STARTING:
                     task.state = work_pb2.TASK_STATE_RUNNING
@@ -271,7 +277,9 @@
             self._tasks.requeue(attempt.key.task)
         else:
             self._tasks.mark_lost(
-                attempt.key.task, f"worker {record.id} restarted"
+                attempt.key.task,
+                f"worker {record.id} restarted",
+                restarted=True,
             )
 
     def expire_leases(self, now: float) -> None:
