A run on a silent next incarnation is taken for expired

A start meant for the incarnation before may have begun there, by the new clock, so the task ran again.

Change: an incarnation that has not answered is waited for from when it replaced the one before, for the longest lease. The test failed before ('ran again after completed run 1').

--- a/packages/wisterialug-core/src/wisterialug_core/workflow/worker_table.py
+++ b/packages/wisterialug-core/src/wisterialug_core/workflow/worker_table.py
@@ -46,7 +46,8 @@
       least_epoch: Epoch from which orders are for this incarnation: those for
         an earlier one carry a lower epoch, and it rejects them once asked
         under this one.
-      reborn: An earlier incarnation is known, whose orders may reach it.
+      reborn_s: When it replaced an earlier incarnation, whose orders may reach
+        it; 0 if none is known.
     """
 
     report: model.WorkerReport
@@ -79,7 +80,7 @@
     changes: int = 0
     drained: bool = False
     least_epoch: int = 0
-    reborn: bool = False
+    reborn_s: float = 0.0
 
     @property
     def rack(self) -> str:
@@ -210,12 +211,14 @@
         if self._current.get(worker.report.name) is worker:
             del self._current[worker.report.name]
 
-    def replace(self, old: Worker, report: model.WorkerReport) -> Worker:
+    def replace(
+        self, old: Worker, report: model.WorkerReport, now_s: float
+    ) -> Worker:
         """Adds a worker's next incarnation, or one that was taken for ended."""
         new = self.update(report)
         self._current[report.name] = new
         new.gone = False
-        new.reborn = True
+        new.reborn_s = now_s
         new.fenced = False
         old.gone = True
         self.mark_absent(old.report.id)
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/lost_worker.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/lost_worker.py
@@ -87,13 +87,16 @@
     shard_owner: owner.ShardOwner, worker: worker_table.Worker
 ) -> None:
     """Ends the runs of a worker whose lease has surely expired."""
-    expiry_s = (
-        worker.lease.latest_expiry_s()
-        if worker.fenced
-        else leases.earlier_expiry_s(
-            shard_owner.acquired_s, shard_owner.cfg.lease_ms
+    cfg = shard_owner.cfg
+    if worker.fenced:
+        expiry_s = worker.lease.latest_expiry_s()
+    elif worker.reborn_s:
+        # Calls for an earlier incarnation count by the clock of this one.
+        expiry_s = leases.earlier_expiry_s(
+            worker.reborn_s, cfg.longest_lease_ms
         )
-    )
+    else:
+        expiry_s = leases.earlier_expiry_s(shard_owner.acquired_s, cfg.lease_ms)
     if clock.now_s() > expiry_s:
         end_runs(shard_owner, worker, run_proofs.Proof.LEASE_EXPIRED)
 
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/succession.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/succession.py
@@ -14,7 +14,7 @@
 
 from wisterialug_core.workflow import model, run_proofs
 from wisterialug_daemon import logs
-from wisterialug_daemon.workflow import lost_worker
+from wisterialug_daemon.workflow import clock, lost_worker
 
 if TYPE_CHECKING:
     from wisterialug_core.workflow import worker_table
@@ -38,7 +38,7 @@
     """Replaces an incarnation that has ended by the one that is reported."""
     jobs, workers = shard_owner.shard_jobs, shard_owner.shard_workers
     tasks = lost_worker.active_tasks(shard_owner, old)
-    new = workers.replace(old, report)
+    new = workers.replace(old, report, clock.now_s())
     # One that has not answered this owner got no orders from it.
     new.least_epoch = (
         shard_owner.raise_epoch() if old.fenced else old.least_epoch
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/worker_session.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/worker_session.py
@@ -258,7 +258,7 @@
             # An earlier owner may have extended the lease just before; what
             # was granted by the clock of an earlier incarnation, at the most.
             cfg = self._owner.cfg
-            lease_ms = cfg.longest_lease_ms if worker.reborn else cfg.lease_ms
+            lease_ms = cfg.longest_lease_ms if worker.reborn_s else cfg.lease_ms
             worker.lease.deadline_ms = max(
                 worker.lease.deadline_ms, reply.clock_ms + lease_ms
             )
--- a/tests/test_daemon/test_succession.py
+++ b/tests/test_daemon/test_succession.py
@@ -100,6 +100,24 @@
         self.finish(job)
         self.assertEqual(7, len(self.fleet.history))
 
+    def test_run_on_a_silent_next_incarnation_is_taken_for_expired(self):
+        self.start_fleet()
+        shard_owner = self.nodes["n0"].election._owned["s0"]
+        # Leases of earlier owners have long expired.
+        shard_owner.acquired_s -= 60
+        self.fleet.order_delay_s = (1.0, 1.0)
+        self.fleet.next_start_faults.extend([Fault.LATE, Fault.LOST])
+        job = self.submit(step(1))
+        self.wait_for(lambda: len(self.fleet.next_start_faults) < 2, 5)
+        self.restart()
+        worker = self.fleet.workers["w0"]
+        worker.poll_fault_rates = {Fault.LOST: 1.0}
+        self.fleet.add("w1")
+        eventlet.sleep(self.POLLED_S)
+        worker.poll_fault_rates = None
+        self.finish(job)
+        self.assertEqual(1, len(self.fleet.history))
+
     def test_epoch_is_recorded_before_the_next_incarnation_is_asked(self):
         self.start_fleet()
         self.finish(self.submit(step(2)))
