Workers are kept for suspects that can't start

Change: only tasks of the round's queue are tried, and a job without a worker does not count. The test failed before.

--- a/packages/wisterialug-core/src/wisterialug_core/workflow/crash_trials.py
+++ b/packages/wisterialug-core/src/wisterialug_core/workflow/crash_trials.py
@@ -25,21 +25,34 @@
     """Trials of one placement round."""
 
     def __init__(
-        self, jobs: job_table.JobTable, usable: list[worker_table.Worker]
+        self,
+        jobs: job_table.JobTable,
+        usable: list[worker_table.Worker],
+        queue: Iterable[tuple[model.GroupKey, list[model.Task]]],
     ) -> None:
+        """Assigns workers to the suspects among the waiting tasks.
+
+        Args:
+          jobs: The jobs.
+          usable: Workers that may get runs.
+          queue: Waiting tasks that the round considers, by group.
+        """
         self._jobs = jobs
         self._unproven_runs: dict[str, list[model.TaskKey]] = {}
         # Job that is tried, by worker.
         self._tried: dict[str, str] = {}
         # Jobs of suspects that have not outlived their start, by worker.
         self._suspects: dict[str, set[str]] = {}
-        waiting: dict[str, list[model.Task]] = {}
-        for task in jobs.current_suspects():
+        suspects = jobs.current_suspects()
+        for task in suspects:
             if task.active:
                 self.note_placed(task.worker, task)
-            elif task.pending and self.applies_to(task):
-                waiting.setdefault(task.key.job, []).append(task)
-        if waiting:
+        if any(task.pending for task in suspects):
+            waiting: dict[str, list[model.Task]] = {}
+            for group, tasks in queue:
+                tried = [task for task in tasks if self.applies_to(task)]
+                if tried:
+                    waiting.setdefault(group.job, []).extend(tried)
             self._assign_all(waiting, usable)
 
     @property
@@ -65,11 +78,16 @@
         """Returns whether a worker is kept for the trial of another job."""
         return self._tried.get(worker.report.id, job) != job
 
-    def admits(self, worker: worker_table.Worker, job: str) -> bool:
-        """Returns whether a suspect of a job can be tried on a worker now."""
-        return self._tried.get(worker.report.id) == job and not any(
-            key.job != job for key in self._unproven(worker)
-        )
+    def admitted(
+        self, workers: Iterable[worker_table.Worker], job: str
+    ) -> list[worker_table.Worker]:
+        """Returns the workers on which a job can be tried now."""
+        return [
+            w
+            for w in workers
+            if self._tried.get(w.report.id) == job
+            and all(key.job == job for key in self._unproven(w))
+        ]
 
     def tells_apart(
         self, worker: worker_table.Worker, task: model.Task
@@ -95,16 +113,19 @@
             if under_way >= limit:
                 return
             if job not in self._tried.values():
-                self._assign(job, waiting[job], usable)
-                under_way += 1
+                under_way += self._assign(job, waiting[job], usable)
 
     def _assign(
         self,
         job: str,
         tasks: Iterable[model.Task],
         usable: list[worker_table.Worker],
-    ) -> None:
-        """Keeps the worker for a job on which its trial can begin first."""
+    ) -> bool:
+        """Keeps the worker for a job on which its trial can begin first.
+
+        Returns:
+          Whether there is one.
+        """
         entry = self._jobs.jobs[job]
         for task in tasks:
             step = self._jobs.step(task.key)
@@ -117,7 +138,8 @@
             if options:
                 best = min(options, key=lambda w: self._delay(w, step))
                 self._tried[best.report.id] = job
-                return
+                return True
+        return False
 
     def _delay(
         self, worker: worker_table.Worker, step: workflow_pb2.Step
--- a/packages/wisterialug-core/src/wisterialug_core/workflow/step_placement.py
+++ b/packages/wisterialug-core/src/wisterialug_core/workflow/step_placement.py
@@ -60,8 +60,11 @@
     usable = [w for w in workers.workers.values() if w.usable(now_s)]
     if not usable:
         return []
-    this_round = _Round(jobs, workers, interference, usable, now_s, now_ms)
     queue = pending_groups(jobs, now_s, now_ms, order)[:MAX_GROUPS_PER_ROUND]
+    trials = crash_trials.Trials(jobs, usable, queue)
+    this_round = _Round(
+        jobs, workers, interference, usable, trials, now_s, now_ms
+    )
     for group, waiting in finite_first.select(queue, jobs, usable, now_ms):
         this_round.place(group, waiting, first=True)
     for group, waiting in queue:
@@ -103,6 +106,7 @@
         workers: worker_table.WorkerTable,
         interference: fill_interference.InterferenceModel,
         usable: list[worker_table.Worker],
+        trials: crash_trials.Trials,
         now_s: float,
         now_ms: int,
     ) -> None:
@@ -113,7 +117,7 @@
         self._usable = usable
         self._now_s = now_s
         self._now_ms = now_ms
-        self._trials = crash_trials.Trials(jobs, usable)
+        self._trials = trials
         self._has_spare = workers.reserved_share() < STARVED_RESERVED_LIMIT
         # Workers held for long-running tasks, which get what becomes free.
         self._held: set[str] = set()
@@ -190,18 +194,10 @@
             return waiting
         entry = self._jobs.jobs[group.job]
         step = entry.job.steps[group.step]
+        workers = self._trials.admitted(self._usable, group.job)
+        workers = worker_rating.eligible_workers(entry, step, workers)
         queue = worker_rating.Candidates(
-            step,
-            group,
-            [
-                w
-                for w in worker_rating.eligible_workers(
-                    entry, step, self._usable
-                )
-                if self._trials.admits(w, group.job)
-            ],
-            self._fill_rooms,
-            throttled=step.fills,
+            step, group, workers, self._fill_rooms, throttled=step.fills
         )
         for task in tried:
             worker = queue.best()
--- a/tests/test_core/test_workflow/test_crash_trials.py
+++ b/tests/test_core/test_workflow/test_crash_trials.py
@@ -138,6 +138,17 @@
         self.plan()
         self.assertTrue(second[0].active)
 
+    def test_workers_are_kept_for_suspects_that_can_not_start(self):
+        for number in range(4):
+            self.suspects(f"j{number}", 2, crashes=2, required_label="none")
+        for task in self.suspects("later", 2, crashes=2):
+            task.not_before_s = NOW_S + 1
+        self.suspects("now", 1, crashes=2)
+        self.add_job("new", 16 * 16)
+        found = self.workers_by_job(self.plan())
+        self.assertEqual({"now", "new"}, set(found))
+        self.assertEqual(15, len(found["new"]))
+
     def test_gang_of_suspects_is_placed_whole(self):
         self.suspects("j0", 4, crashes=3, gang=True)
         self.assertEqual(4, len(self.plan()))
