--- a/tests/test_daemon/test_deadly_tasks.py
+++ b/tests/test_daemon/test_deadly_tasks.py
@@ -120,13 +120,13 @@
     def run_s(self, task):
         return super().run_s(task) if not self.lasts(task) else 1000
 
-    def test_job_that_stood_beside_crashes_is_given_up(self):
-        self.start_nodes(2, workers=8)
+    def play(self, workers, waves, gap_s):
+        self.start_nodes(2, workers=workers)
         self.owner()
         jobs = [self.submit(step(3)) for _ in range(6)]
         lasting = self.submit(step(4, long_running=True))
-        for _ in range(4):
-            eventlet.sleep(3)
+        for _ in range(waves):
+            eventlet.sleep(gap_s)
             for name in self.rng.sample(sorted(self.fleet.workers), 2):
                 self.fleet.crash_and_restart(name)
             jobs.append(self.submit(step(3)))
@@ -136,6 +136,12 @@
         self.wait_for(lambda: len(self.working()) == 4, 10)
         self.check_invariants()
 
+    def test_job_that_stood_beside_crashes_is_given_up(self):
+        self.play(workers=8, waves=4, gap_s=3)
+
+    def test_job_that_stood_beside_frequent_crashes_is_given_up(self):
+        self.play(workers=6, waves=6, gap_s=1.5)
+
     def working(self):
         return [
             r
