Contents of a shard and placements are modules of their own

Change: what an owner loads and applies from its inbox is in shard_contents.py, placements and gangs are in task_placement.py. No behaviour changes.

--- a/packages/wisterialug-core/src/wisterialug_core/workflow/step_placement.py
+++ b/packages/wisterialug-core/src/wisterialug_core/workflow/step_placement.py
@@ -7,7 +7,6 @@
 
 from __future__ import annotations
 
-import dataclasses
 from typing import TYPE_CHECKING
 
 from wisterialug_core.decisions import resources
@@ -17,6 +16,7 @@
     finite_first,
     job_table,
     model,
+    task_placement,
     urgency,
     worker_rating,
 )
@@ -35,15 +35,6 @@
 MAX_GROUPS_PER_ROUND = 400
 
 
-@dataclasses.dataclass(frozen=True)
-class Placement:
-    """A task to start on a worker."""
-
-    task: model.Task
-    worker: worker_table.Worker
-    run: int
-
-
 def plan(
     jobs: job_table.JobTable,
     workers: worker_table.WorkerTable,
@@ -51,7 +42,7 @@
     now_s: float,
     now_ms: int,
     order: urgency.Order = urgency.order,
-) -> list[Placement]:
+) -> list[task_placement.Placement]:
     """Returns the starts that fit now, the most urgent first.
 
     Resources are reserved for the returned starts. `now_s` is monotonic time,
@@ -110,7 +101,7 @@
         now_s: float,
         now_ms: int,
     ) -> None:
-        self.placements: list[Placement] = []
+        self.placements: list[task_placement.Placement] = []
         self._jobs = jobs
         self._workers = workers
         self._fill_rooms = worker_rating.FillRooms(interference)
@@ -159,7 +150,7 @@
         if not (first or step.fills):
             candidates = [w for w in candidates if not self._is_kept(w, step)]
         if step.gang:
-            self.placements += _place_gang(
+            self.placements += task_placement.place_gang(
                 entry.group(group),
                 step,
                 candidates,
@@ -225,7 +216,7 @@
         if task.crash_evidence.suspect:
             self._trials.note_placed(worker.report.id, task)
         self.placements.append(
-            _reserve(
+            task_placement.reserve(
                 task,
                 worker,
                 task.run + 1,
@@ -342,54 +333,3 @@
     if options:
         best = max(options, key=lambda w: w.free().cpu_millicores)
         held.add(best.report.id)
-
-
-def _reserve(
-    task: model.Task,
-    worker: worker_table.Worker,
-    run: int,
-    jobs: job_table.JobTable,
-    workers: worker_table.WorkerTable,
-    now_s: float,
-) -> Placement:
-    jobs.start(task, worker.report.id, run, now_s)
-    workers.reserve(task, jobs.step(task.key))
-    return Placement(task, worker, run)
-
-
-def _place_gang(
-    tasks: list[model.Task],
-    step: workflow_pb2.Step,
-    candidates: list[worker_table.Worker],
-    jobs: job_table.JobTable,
-    workers: worker_table.WorkerTable,
-    fill_rooms: worker_rating.FillRooms,
-) -> list[Placement]:
-    """Places all members of a gang, or none."""
-    if any(t.active for t in tasks):
-        return []
-    group = model.GroupKey(*tasks[0].key[:3])
-    racks = {w.rack for w in candidates}
-    pools = [[w for w in candidates if w.rack == rack] for rack in racks]
-    pools.sort(key=lambda pool: -sum(w.free().cpu_millicores for w in pool))
-    run = max(t.run for t in tasks) + 1
-    for pool in pools if step.same_rack else [candidates]:
-        placements: list[Placement] = []
-        queue = worker_rating.Candidates(step, group, pool, fill_rooms)
-        for task in tasks:
-            worker = queue.best(task)
-            if worker is None:
-                break
-            placements.append(
-                _reserve(task, worker, run, jobs, workers, task.phase_since_s)
-            )
-            queue.update(worker)
-        if len(placements) == len(tasks):
-            return placements
-        for placement in placements:
-            task = placement.task
-            workers.release(task, task.worker, step)
-            jobs.jobs[task.key.job].active -= 1
-            task.worker = ""
-            task.run = run - 1
-    return []
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/dispatcher.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/dispatcher.py
@@ -12,7 +12,7 @@
 
 if TYPE_CHECKING:
     from wisterialug_core.schema import workflow_pb2
-    from wisterialug_core.workflow import step_placement, worker_table
+    from wisterialug_core.workflow import task_placement, worker_table
     from wisterialug_daemon.workflow import owner
 
 ORDER_TIMEOUT_S = 0.8
@@ -33,7 +33,7 @@
         self._stopping: set[tuple[model.TaskKey, int]] = set()
         self._made_room_s = 0.0
 
-    def send(self, start: step_placement.Placement) -> None:
+    def send(self, start: task_placement.Placement) -> None:
         """Sends a committed start."""
         self._owner.greenlets.spawn(self._start, start)
 
@@ -110,7 +110,7 @@
             return False
         return job.steps[task.key.step].long_running
 
-    def _is_starting(self, start: step_placement.Placement) -> bool:
+    def _is_starting(self, start: task_placement.Placement) -> bool:
         """Returns whether the run is active and not known to have begun."""
         task = start.task
         return (
@@ -119,7 +119,7 @@
             and task.phase is model.Phase.STARTING
         )
 
-    def _start(self, start: step_placement.Placement) -> None:
+    def _start(self, start: task_placement.Placement) -> None:
         task, worker = start.task, start.worker
         for _ in range(MAX_START_ATTEMPTS):
             if not self._is_starting(start):
@@ -172,7 +172,7 @@
         self._abandon(start, "no response to start")
 
     def _handle_started(
-        self, start: step_placement.Placement, reply: worker_calls.Reply
+        self, start: task_placement.Placement, reply: worker_calls.Reply
     ) -> None:
         task = start.task
         if not self._is_starting(start):
@@ -184,7 +184,7 @@
 
     def _abandon(
         self,
-        start: step_placement.Placement,
+        start: task_placement.Placement,
         why: str,
         backoff_s: float = REJECTED_BACKOFF_S,
     ) -> None:
@@ -211,7 +211,7 @@
 
     def _handle_rejection(
         self,
-        start: step_placement.Placement,
+        start: task_placement.Placement,
         exc: errors.WorkerError,
         orders: run_proofs.StartOrders,
     ) -> None:
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/owner.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/owner.py
@@ -6,7 +6,6 @@
 
 import eventlet
 import eventlet.event
-import result
 
 from wisterialug_core.workflow import (
     fill_interference,
@@ -20,11 +19,10 @@
 from wisterialug_daemon.workflow import (
     clock,
     dispatcher,
-    errors,
     lender,
     owner_logs,
     pool,
-    records,
+    shard_contents,
     shard_feeds,
     shard_recorder,
     shard_store,
@@ -36,7 +34,7 @@
     from collections.abc import Callable, Mapping
 
     from wisterialug_core.schema import workflow_pb2
-    from wisterialug_core.workflow import run_proofs
+    from wisterialug_core.workflow import run_proofs, task_placement
     from wisterialug_daemon.workflow import (
         layout_keeper,
         row_store,
@@ -94,7 +92,10 @@
         )
         self._shared_effects = shared_effects.SharedEffects(self, store, keeper)
         self._recorder = shard_recorder.ShardRecorder(self, self._lender)
-        self._pending: list[step_placement.Placement] = []
+        self.contents = shard_contents.ShardContents(
+            self, self._feeds, self._lender, self._recorder
+        )
+        self._pending: list[task_placement.Placement] = []
         self._wake = eventlet.event.Event()
         self._stopping = False
 
@@ -147,7 +148,7 @@
 
     def run(self) -> None:
         """Schedules the shard until it is lost or released."""
-        loaded = self._load()
+        loaded = self.contents.load()
         if loaded.is_err():
             self.lose(f"loading failed: {loaded.err_value}")
             return
@@ -175,88 +176,6 @@
         )
         self.wake()
 
-    def _load(self) -> result.Result[None, errors.StoreError]:
-        begun_s = clock.now_s()
-        loaded = self.rows.load()
-        if loaded.is_err():
-            return loaded
-        content = loaded.ok_value
-        self._feeds.inbox_cursor = content.cursor
-        self.interference.factors.restore(content.effects)
-        adopted = 0
-        for job in content.inbox.jobs:
-            self.shard_jobs.add(job)
-        for loan in content.inbox.loans:
-            if not self._is_orphan(loan):
-                self.shard_jobs.add_borrowed(loan.job)
-        for job, entry in list(self.shard_jobs.jobs.items()):
-            progress = content.progress.get(job)
-            if progress is not None:
-                for task in self.shard_jobs.restore(entry, progress):
-                    self._adopt(task)
-                    adopted += 1
-        # Of borrowed jobs whose loan was removed before the record was.
-        self._recorder.orphans += [
-            records.progress(self.rows.shard, job)
-            for job in content.progress.keys() - self.shard_jobs.jobs.keys()
-        ]
-        self.apply_inbox(content.inbox)
-        for entry in list(self.shard_jobs.jobs.values()):
-            self.shard_jobs.close_if_ended(entry, clock.wall_ms())
-            if not entry.home or self._lender.rows_are_left(entry.job.id):
-                # Its results, or its end, may not have been sent to others.
-                self.shard_jobs.dirty.add(entry.job.id)
-        logs.event(
-            "shard-loaded",
-            shard=self.rows.shard,
-            epoch=self.epoch,
-            jobs=len(self.shard_jobs.jobs),
-            open_jobs=len(self.shard_jobs.open_jobs),
-            runs=adopted,
-            took_s=round(clock.now_s() - begun_s, 3),
-        )
-        return result.Ok(None)
-
-    def apply_inbox(self, inbox: shard_store.Inbox) -> None:
-        """Applies what others have written for this shard."""
-        now_ms = clock.wall_ms()
-        for job in inbox.jobs:
-            self.shard_jobs.add(job)
-        for loan in inbox.loans:
-            if not self._is_orphan(loan):
-                self._lender.borrow(loan)
-                continue
-            ref = records.loan(loan.job.id, loan.from_shard, loan.to_shard)
-            self._recorder.orphans.append(ref)
-        for loan_result in inbox.results:
-            if loan_result.job not in self.shard_jobs.jobs:
-                # The job's rows were removed before this one was written.
-                ref = records.result(
-                    loan_result.job,
-                    loan_result.from_shard,
-                    loan_result.to_shard,
-                )
-                self._recorder.orphans.append(ref)
-                continue
-            entry = self._lender.apply_result(loan_result)
-            if entry is not None and entry.final:
-                owner_logs.log_job_end(entry)
-        for job in inbox.cancelled:
-            if self.shard_jobs.cancel(job, now_ms):
-                logs.event("job-cancelled", job=job, shard=self.rows.shard)
-
-    def _is_orphan(self, loan: workflow_pb2.Loan) -> bool:
-        """Returns whether a loan brings back tasks of a job that was removed.
-
-        Its job's own row is in the same inbox until the job is removed.
-        """
-        at_home = loan.job.shard == self.rows.shard
-        return at_home and loan.job.id not in self.shard_jobs.jobs
-
-    def _adopt(self, task: model.Task) -> None:
-        self.shard_workers.add_recorded(model.Incarnation(task.worker))
-        self.shard_workers.reserve(task, self.shard_jobs.step(task.key))
-
     def session(
         self, worker: worker_table.Worker
     ) -> worker_session.WorkerSession:
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/owner_logs.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/owner_logs.py
@@ -14,7 +14,7 @@
         job_entry,
         job_table,
         run_proofs,
-        step_placement,
+        task_placement,
     )
 
 
@@ -53,7 +53,7 @@
 
 def log_placed(
     jobs: job_table.JobTable,
-    placements: list[step_placement.Placement],
+    placements: list[task_placement.Placement],
     epoch: int,
     version: int,
 ) -> None:
@@ -65,7 +65,7 @@
       epoch: Epoch of the owner.
       version: Version of the change that recorded them.
     """
-    by_group: dict[model.GroupKey, list[step_placement.Placement]] = {}
+    by_group: dict[model.GroupKey, list[task_placement.Placement]] = {}
     for start in placements:
         group = model.GroupKey(*start.task.key[:3])
         by_group.setdefault(group, []).append(start)
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/shard_feeds.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/shard_feeds.py
@@ -167,5 +167,5 @@
     def _apply_inbox(self, rows: Iterable[row_store.Row]) -> None:
         inbox = shard_store.decode_inbox(rows, self._owner.rows.shard)
         if inbox:
-            self._owner.apply_inbox(inbox)
+            self._owner.contents.apply(inbox)
             self._owner.wake()
