What others write is decoded in one checked place

Cause: each reader had its own checks. An entry with "cpu": 1e400 or nested deeply raised out of the reader, so one row hid the whole list of workers; a negative capacity, a birth that is a fraction, labels as one text, a port of 65536 and a key with "@" were taken.

Change: checked_fields decodes entries, configs, reports, answers and jobs.

--- a/tests/test_platform/test_decoding.py
+++ b/tests/test_platform/test_decoding.py
@@ -76,11 +76,32 @@
             {"labels": [1]},
             {"born": "today"},
             {"labels": 5},
+            {"labels": "r1-3"},
+            {"capacity": {"cpu": -1, "mem_mb": 1}},
+            {"capacity": {"cpu": 0.5, "mem_mb": 1}},
+            {"capacity": {"cpu": 10**12, "mem_mb": 1}},
+            {"born": 1764.5},
+            {"born": -1},
+            {"address": "10.0.0.9:65536"},
+            {"address": "10.0.0.9:+80"},
+            {"address": "host:80"},
+            {"service": ""},
+            {"service": "\ud800"},
+            {"zone": ["z"]},
+            {"zone": "missing"},
+            {"slots": "8"},
         ]
         for changes in cases:
             self.assertIsNone(self.decode(**changes), changes)
-        for value in (b"", b"\xff\xfe", b"[]", b"null", b"{"):
-            self.assertIsNone(registry.decode("i-1", value), value)
+        huge = json.dumps(ENTRY).replace("16000", "1e400").encode()
+        deep = b"[" * 100_000
+        for value in (b"", b"\xff\xfe", b"[]", b"null", b"{", huge, deep):
+            self.assertIsNone(registry.decode("i-1", value), value[:20])
+
+    def test_keys_that_are_no_ids_are_ignored(self):
+        entry = json.dumps(ENTRY).encode()
+        for key in ("i-1@x", "i-1@5", "i 1", "i-1\r\nX: 1", "\u00e9"):
+            self.assertIsNone(registry.decode(key, entry), key)
 
 
 class ConfigTest(testtools.TestCase):
@@ -99,8 +120,24 @@
         self.assertIsNone(table.find("a.x", "/b"))
 
     def test_unreadable_config_is_ignored(self):
-        for value in (b"", b"{}", b'{"version": 1}', b"[1]"):
-            self.assertIsNone(config_source.decode(value))
+        route = {"name": "r", "host": "h", "path_prefix": "/", "service": "s"}
+        cases = [
+            {"version": "7"},
+            {"version": -7},
+            {"routes": {"r": route}},
+            {"routes": [route, {**route, "path_prefix": ["/"]}]},
+            {"routes": [{**route, "host": "missing"}, {}]},
+            {"routes": [{**route, "priority": 2**40}]},
+            {"routes": [{**route, "stretch": "x"}]},
+        ]
+        valid = {"version": 7, "routes": [route]}
+        self.assertIsNotNone(config_source.decode(json.dumps(valid).encode()))
+        for changes in cases:
+            value = json.dumps({**valid, **changes}).encode()
+            self.assertIsNone(config_source.decode(value), changes)
+        huge = b'{"version": 1e400, "routes": []}'
+        for value in (b"", b"{}", b"[1]", huge, b"[" * 100_000):
+            self.assertIsNone(config_source.decode(value), value[:20])
 
 
 class JobTest(testtools.TestCase):
