Steps wait for runs on workers that have turned slow

Cause: a worker that runs several times slower, or stands still for less than 1.8 s at a time, is noticed by nothing, and a step of ten tasks waits for it. Change: runs are compared with the finished tasks of their step; one that has fallen behind is started again elsewhere, once, and its worker is rated last for some seconds. On where the settings say that workers may mislead about their health.

--- a/packages/wisterialug-core/src/wisterialug_core/workflow/health.py
+++ b/packages/wisterialug-core/src/wisterialug_core/workflow/health.py
@@ -17,15 +17,25 @@
 MAX_BACKOFF_S = 24.0
 # Pause after a worker has refused a start.
 REFUSAL_BACKOFF_S = 1.0
+# How long a worker is rated last after a run there has fallen behind.
+INITIAL_SLOW_S = 2.0
+MAX_SLOW_S = 8.0
 
 
 @dataclasses.dataclass(slots=True)
 class WorkerHealth:
-    """Health of a worker, derived from the outcomes of its runs."""
+    """Health of a worker, derived from the outcomes of its runs.
+
+    Attributes:
+      slow: It is rated last: a run there has fallen behind others of its step.
+    """
 
     failed_jobs: set[str] = dataclasses.field(default_factory=set)
     backoff_s: float = INITIAL_BACKOFF_S
     aside_until_s: float = 0.0
+    slow: bool = False
+    slow_until_s: float = 0.0
+    slow_s: float = INITIAL_SLOW_S
 
     def usable(self, now_s: float) -> bool:
         """Returns whether the worker may get new runs."""
@@ -59,3 +69,24 @@
     def record_refusal(self, now_s: float) -> None:
         """Records a start that the worker refused."""
         self.aside_until_s = max(self.aside_until_s, now_s + REFUSAL_BACKOFF_S)
+
+    def record_slow(self, now_s: float) -> None:
+        """Records a run that has fallen behind; the worker is rated last.
+
+        It stays in use, so that room is never short for want of fast workers.
+        """
+        if now_s < self.slow_until_s:
+            return
+        self.slow = True
+        self.slow_until_s = now_s + self.slow_s
+        self.slow_s = min(MAX_SLOW_S, self.slow_s * 2)
+
+    def record_usual_speed(self) -> None:
+        """Records a run that took the usual time of its step."""
+        self.slow = False
+        self.slow_until_s = 0.0
+        self.slow_s = INITIAL_SLOW_S
+
+    def update_slow(self, now_s: float) -> None:
+        """Rates the worker as others again once its time is over."""
+        self.slow = now_s < self.slow_until_s
--- a/packages/wisterialug-core/src/wisterialug_core/workflow/job_entry.py
+++ b/packages/wisterialug-core/src/wisterialug_core/workflow/job_entry.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING
 
 from wisterialug_core.schema import workflow_pb2
-from wisterialug_core.workflow import model
+from wisterialug_core.workflow import model, stragglers
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Iterator
@@ -76,6 +76,10 @@
     times: dict[model.GroupKey, urgency.GroupTimes] = dataclasses.field(
         default_factory=dict
     )
+    # Times of finished tasks by group, until the group ends.
+    step_times: dict[model.GroupKey, stragglers.StepTimes] = dataclasses.field(
+        default_factory=dict
+    )
     # Ready groups of a job without repetitions, until the next step ends.
     _ready: tuple[model.GroupKey, ...] | None = dataclasses.field(
         default=None, init=False
@@ -117,6 +121,7 @@
         """Notes that one more task of a group is done."""
         self.open_tasks[key] -= 1
         if not self.open_tasks[key]:
+            self.step_times.pop(key, None)
             self._note_step_end()
 
     def _note_step_end(self) -> None:
--- a/packages/wisterialug-core/src/wisterialug_core/workflow/job_table.py
+++ b/packages/wisterialug-core/src/wisterialug_core/workflow/job_table.py
@@ -144,6 +144,8 @@
         task.orders = run_proofs.StartOrders()
         task.progress = 0
         task.stalled_since_s = 0.0
+        task.started_clock_ms = -1
+        task.resumed = bool(task.checkpoint)
         task.borrowed_s = 0.0
         task.crash_evidence.begin_run()
         entry.active += 1
--- a/packages/wisterialug-core/src/wisterialug_core/workflow/step_placement.py
+++ b/packages/wisterialug-core/src/wisterialug_core/workflow/step_placement.py
@@ -51,6 +51,8 @@
     usable = [w for w in workers.workers.values() if w.usable(now_s)]
     if not usable:
         return []
+    for worker in usable:
+        worker.health.update_slow(now_s)
     queue = pending_groups(jobs, now_s, now_ms, order)[:MAX_GROUPS_PER_ROUND]
     trials = crash_trials.Trials(jobs, usable, queue)
     this_round = _Round(
--- a/packages/wisterialug-core/src/wisterialug_core/workflow/worker_rating.py
+++ b/packages/wisterialug-core/src/wisterialug_core/workflow/worker_rating.py
@@ -180,18 +180,24 @@
 
 def _fill_score(
     step: workflow_pb2.Step, worker: worker_table.Worker, pace: float
-) -> tuple[bool, float, bool, int]:
+) -> tuple[bool, bool, float, bool, int]:
     """Rates a worker for fill work; the lowest is best.
 
     Workers without serving tasks are left to fill tasks that interfere.
     """
     remote = bool(step.data_rack) and step.data_rack != worker.rack
-    return remote, -pace, not worker.serving, -worker.fill_room_millicores()
+    return (
+        worker.health.slow,
+        remote,
+        -pace,
+        not worker.serving,
+        -worker.fill_room_millicores(),
+    )
 
 
 def _score(
     step: workflow_pb2.Step, worker: worker_table.Worker
-) -> tuple[bool, int, int]:
+) -> tuple[bool, bool, int, int]:
     """Rates a worker for a task; the lowest is best.
 
     Serving tasks share workers, so that the others are left to fill tasks that
@@ -202,5 +208,5 @@
     if step.long_running:
         # Workers with a single serving image suit more fill images.
         others = sum(worker.serving.values()) - worker.serving[step.image]
-        return remote, others, left
-    return remote, 0, left - worker.fill_millicores
+        return worker.health.slow, remote, others, left
+    return worker.health.slow, remote, 0, left - worker.fill_millicores
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/metrics.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/metrics.py
@@ -104,6 +104,9 @@
     "first_start_seconds", "From a job's acceptance to its first start."
 )
 RUN_ENDS = _counter("run_ends", "Ends of runs, by how.", ("how",))
+STRAGGLERS = _counter(
+    "stragglers", "Runs started again as they fell behind their step."
+)
 ORDER_SECONDS = _histogram(
     "order_seconds", "Calls to workers, by kind and answer.", ("kind", "answer")
 )
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/run_health.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/run_health.py
@@ -4,8 +4,8 @@
 
 from typing import TYPE_CHECKING
 
-from wisterialug_core.workflow import model
-from wisterialug_daemon import logs
+from wisterialug_core.workflow import model, stragglers
+from wisterialug_daemon import logs, metrics
 
 if TYPE_CHECKING:
     from wisterialug_core.workflow import worker_table
@@ -22,7 +22,9 @@
     run: worker_calls.RunningRun,
     report: worker_calls.RunReport,
 ) -> None:
-    """Stops a run that makes no progress, and sets its worker aside."""
+    """Stops a run that makes little progress or none."""
+    if shard_owner.cfg.compares_runs:
+        _compare(shard_owner, session, task, run, report)
     step = shard_owner.shard_jobs.step(task.key)
     now_s = report.reply.received_s
     if (
@@ -41,17 +43,101 @@
         shard_owner.stop_run(task, "makes no progress")
 
 
+def _compare(
+    shard_owner: owner.ShardOwner,
+    session: worker_session.WorkerSession,
+    task: model.Task,
+    run: worker_calls.RunningRun,
+    report: worker_calls.RunReport,
+) -> None:
+    """Stops a run that has fallen behind its step, and rates its worker last."""
+    usual_s = _usual_s(shard_owner, task)
+    elapsed_s = _elapsed_s(task, report)
+    if (
+        usual_s is None
+        or elapsed_s is None
+        or task.restarts
+        or task.phase is not model.Phase.RUNNING
+        or not stragglers.is_better_elsewhere(elapsed_s, run.progress, usual_s)
+    ):
+        return
+    worker = session.worker
+    worker.health.record_slow(report.reply.received_s)
+    if not shard_owner.can_move(task):
+        return
+    task.restarts += 1
+    metrics.STRAGGLERS.inc()
+    logs.event(
+        "run-behind-its-step",
+        task=task.name,
+        run=task.run,
+        worker=worker.report.id,
+        elapsed_s=round(elapsed_s, 3),
+        percent=run.progress,
+        usual_s=round(usual_s, 3),
+    )
+    shard_owner.stop_run(task, "behind the others of its step")
+
+
+def _is_comparable(shard_owner: owner.ShardOwner, task: model.Task) -> bool:
+    """Returns whether the time of a run is that of the task's whole work.
+
+    Fill work gets what others leave, so its time says little of its worker.
+    """
+    step = shard_owner.shard_jobs.step(task.key)
+    return not (step.fills or step.long_running or step.gang or task.resumed)
+
+
+def _usual_s(shard_owner: owner.ShardOwner, task: model.Task) -> float | None:
+    """Returns the usual time of a run's step; None if it is not known."""
+    if not _is_comparable(shard_owner, task):
+        return None
+    entry = shard_owner.shard_jobs.jobs[task.key.job]
+    times = entry.step_times.get(task.group)
+    return times.usual_s(task.key.index) if times else None
+
+
+def _elapsed_s(
+    task: model.Task, report: worker_calls.RunReport
+) -> float | None:
+    """Returns the time of a run by its worker's clock; None if not known."""
+    if task.started_clock_ms < 0 or report.reply.clock_ms < 0:
+        return None
+    return (report.reply.clock_ms - task.started_clock_ms) / 1000
+
+
+def _record_time(
+    shard_owner: owner.ShardOwner,
+    worker: worker_table.Worker,
+    task: model.Task,
+    report: worker_calls.RunReport,
+) -> None:
+    """Records how long a run took, for the others of its step."""
+    elapsed_s = _elapsed_s(task, report)
+    if elapsed_s is None or not _is_comparable(shard_owner, task):
+        return
+    usual_s = _usual_s(shard_owner, task)
+    if usual_s and elapsed_s <= stragglers.USUAL_FACTOR * usual_s:
+        worker.health.record_usual_speed()
+    entry = shard_owner.shard_jobs.jobs[task.key.job]
+    times = entry.step_times.setdefault(task.group, stragglers.StepTimes())
+    times.note(task.key.index, elapsed_s)
+
+
 def record_end(
+    shard_owner: owner.ShardOwner,
     worker: worker_table.Worker,
     ended: worker_calls.EndedRun,
     task: model.Task,
     report: worker_calls.RunReport,
 ) -> None:
-    """Records what the end of a run says of its worker."""
+    """Records what the end of a run says of its worker and its step."""
     health = worker.health
     now_s = report.reply.received_s
     if ended.end is model.RunEnd.DONE:
         health.record_success()
+        if shard_owner.cfg.compares_runs:
+            _record_time(shard_owner, worker, task, report)
     elif set(task.failed_on) - {worker.report.id}:
         # It has failed elsewhere too: the task is at fault.
         return
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/settings.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/settings.py
@@ -18,6 +18,8 @@
       state_kept_s: How long the state of an ended job can be queried.
       processors: Processors that the process may use.
       link_mbps: Bandwidth of the VM's link, in megabits per second.
+      compares_runs: Workers may be slow though they report themselves well, so
+        runs are compared with the others of their step.
       stop_within_s: Time from the stop request until the process must end.
     """
 
@@ -30,6 +32,7 @@
     stop_within_s: float
     processors: float = 1.0
     link_mbps: float = 1000.0
+    compares_runs: bool = False
 
     @property
     def owner_id(self) -> str:
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/worker_session.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/worker_session.py
@@ -315,7 +315,7 @@
                 continue
             self._uncommitted[ended.seq] = task.key.job
             self._owner.shard_jobs.mark_running(task)
-            run_health.record_end(self.worker, ended, task, report)
+            run_health.record_end(self._owner, self.worker, ended, task, report)
             self._owner.end_run(
                 task, ended.end, ended.checkpoint, run_proofs.Proof.REPORTED
             )
--- a/packages/wisterialug-standins/src/wisterialug_standins/emulated_worker.py
+++ b/packages/wisterialug-standins/src/wisterialug_standins/emulated_worker.py
@@ -48,6 +48,7 @@
       poll_fault_rates: The same for polls, if they differ.
       fails_all: All runs fail immediately.
       hangs: Runs make no progress.
+      slowness: Runs take so many times as long.
       lapsed_s: When it last was without a valid lease.
     """
 
@@ -62,6 +63,7 @@
     poll_fault_rates: dict[order_faults.OrderFault, float] | None = None
     fails_all: bool = False
     hangs: bool = False
+    slowness: float = 1.0
     fence: int = 0
     deadline_ms: int = 0
     lapsed_s: float = 0.0
--- a/packages/wisterialug-standins/src/wisterialug_standins/emulated_workers.py
+++ b/packages/wisterialug-standins/src/wisterialug_standins/emulated_workers.py
@@ -176,7 +176,7 @@
     ) -> int:
         if worker.hangs:
             return 0
-        elapsed_s = self._worked_s(record)
+        elapsed_s = self._worked_s(record) / worker.slowness
         return min(100, int(100 * elapsed_s / self._duration_s(record.task)))
 
     def _deliver(
@@ -381,7 +381,7 @@
             if record.end is not None:
                 # Ended with another member of its gang.
                 continue
-            elapsed_s = self._worked_s(record)
+            elapsed_s = self._worked_s(record) / worker.slowness
             if lapsed:
                 self._end_run(worker, record, model.RunEnd.LAPSED)
             elif worker.fails_all:
--- a/tests/test_core/test_workflow/test_health.py
+++ b/tests/test_core/test_workflow/test_health.py
@@ -28,3 +28,25 @@
         state.record_failure("a", 0.0)
         state.record_success()
         self.assertFalse(state.record_failure("b", 0.0))
+
+    def test_slow_worker_is_rated_last_for_a_while(self):
+        state = health.WorkerHealth()
+        state.record_slow(0.0)
+        state.update_slow(health.INITIAL_SLOW_S - 0.1)
+        self.assertTrue(state.slow)
+        state.update_slow(health.INITIAL_SLOW_S)
+        self.assertFalse(state.slow)
+        self.assertTrue(state.usable(0.0))
+
+    def test_worker_that_stays_slow_is_rated_last_for_longer(self):
+        state = health.WorkerHealth()
+        state.record_slow(0.0)
+        state.record_slow(10.0)
+        state.update_slow(10.0 + 2 * health.INITIAL_SLOW_S - 0.1)
+        self.assertTrue(state.slow)
+
+    def test_usual_run_time_clears_slowness(self):
+        state = health.WorkerHealth()
+        state.record_slow(0.0)
+        state.record_usual_speed()
+        self.assertFalse(state.slow)
--- a/tests/test_daemon/workflow_base.py
+++ b/tests/test_daemon/workflow_base.py
@@ -39,6 +39,7 @@
         boot="1",
         processors=1.0,
         state_kept_s=60,
+        compares_runs=False,
     ):
         cfg = settings.WorkflowSettings(
             node=name,
@@ -49,6 +50,7 @@
             state_kept_s=state_kept_s,
             stop_within_s=5,
             processors=processors,
+            compares_runs=compares_runs,
         )
         self.members = members_of(name, store, processors)
         self.election = election.Election(
@@ -79,6 +81,7 @@
     # Of each VM.
     processors = 1.0
     state_kept_s = 60
+    compares_runs = False
 
     def setUp(self):
         super().setUp()
@@ -134,6 +137,7 @@
             boot,
             self.processors,
             self.state_kept_s,
+            self.compares_runs,
         )
         self.addCleanup(self.nodes[name].close)
 
