Tasks wait for a place near their data while that is sooner done

Cause: a task started away from its data at once when no near worker had room, though a place there was free in a moment and it took several times as long elsewhere; gangs on one rack waited without limit; shards were chosen with an assumed factor of two.

The owner now decides by expected end in each round: when a near place falls free, from declared times, elapsed times and progress, with the upper quartile of the time left, against the slowdown that the deployment's settings give. Tasks for one rack take its places in turn, so that only as many wait as profit. A gang that gets no rack in time starts across racks. Nothing waits where the settings give no slowdown. Shards are chosen with the same factor. Waits are logged by step and counted by outcome.

--- a/packages/wisterialug-core/src/wisterialug_core/workflow/job_table.py
+++ b/packages/wisterialug-core/src/wisterialug_core/workflow/job_table.py
@@ -9,6 +9,7 @@
     job_entry,
     model,
     run_proofs,
+    run_times,
 )
 
 # Dropped job ids that are kept; their rows may be read for some more seconds.
@@ -136,17 +137,8 @@
         self, task: model.Task, worker: str, run: int, now_s: float
     ) -> None:
         """Records the start of a run."""
-        entry = self.jobs[task.key.job]
-        task.run = run
-        task.worker = worker
-        task.phase = model.Phase.STARTING
-        task.phase_since_s = now_s
-        task.orders = run_proofs.StartOrders()
-        task.progress = 0
-        task.stalled_since_s = 0.0
-        task.borrowed_s = 0.0
-        task.crash_evidence.begin_run()
-        entry.active += 1
+        task.begin_run(worker, run, now_s)
+        self.jobs[task.key.job].active += 1
         self.dirty.add(task.key.job)
 
     def move_run(self, task: model.Task, worker: str) -> None:
@@ -156,6 +148,7 @@
         """
         task.worker = worker
         task.phase = model.Phase.ADOPTED
+        task.track = run_times.ProgressTrack()
         task.orders = run_proofs.StartOrders(earlier_epoch=True)
         self.dirty.add(task.key.job)
 
--- a/packages/wisterialug-core/src/wisterialug_core/workflow/layouts.py
+++ b/packages/wisterialug-core/src/wisterialug_core/workflow/layouts.py
@@ -27,6 +27,8 @@
 # Minimum room assumed of a shard, as a fraction of its capacity, so that one
 # that seems full is still tried now and then.
 MIN_ROOM_FRACTION = 0.01
+# Where the settings hold none.
+DEFAULT_REMOTE_SLOWDOWN = 2.0
 
 
 class RackKey(NamedTuple):
@@ -73,9 +75,26 @@
 
 
 class Layout:
-    """An immutable assignment of racks to shards."""
+    """An immutable assignment of racks to shards.
 
-    def __init__(self, message: workflow_pb2.Layout | None = None) -> None:
+    Attributes:
+      message: The stored form.
+      shards: Number of shards.
+    """
+
+    def __init__(
+        self,
+        message: workflow_pb2.Layout | None = None,
+        remote_slowdown: float = DEFAULT_REMOTE_SLOWDOWN,
+    ) -> None:
+        """Initializes the layout.
+
+        Args:
+          message: The stored form.
+          remote_slowdown: How many times as long a task takes away from its
+            data.
+        """
+        self._remote_slowdown = remote_slowdown
         self.message = message or workflow_pb2.Layout()
         self.shards = max(1, self.message.shards)
         self._shard_of: dict[RackKey, int] = {}
@@ -140,13 +159,11 @@
         options: list[int],
         near: int,
     ) -> bool:
-        """Returns whether data locality is worth the wait in `near`.
-
-        Away from its data a task takes about twice as long.
-        """
-        far_s = sum(s.estimate_ms for s in job.steps if s.data_rack) / 1000
+        """Returns whether data locality is worth the wait in `near`."""
+        slowed_s = sum(s.estimate_ms for s in job.steps if s.data_rack) / 1000
+        lost_s = (self._remote_slowdown - 1) * slowed_s
         shortest_s = min(loads[shard].wait_s for shard in options)
-        return loads[near].wait_s <= shortest_s + far_s
+        return loads[near].wait_s <= shortest_s + lost_s
 
 
 def rack_key(report: model.WorkerReport) -> RackKey:
--- a/packages/wisterialug-core/src/wisterialug_core/workflow/model.py
+++ b/packages/wisterialug-core/src/wisterialug_core/workflow/model.py
@@ -6,7 +6,7 @@
 import enum
 from typing import TYPE_CHECKING, NamedTuple, NewType
 
-from wisterialug_core.workflow import crash_evidence, run_proofs
+from wisterialug_core.workflow import crash_evidence, run_proofs, run_times
 
 if TYPE_CHECKING:
     from wisterialug_core.decisions import resources
@@ -131,6 +131,9 @@
     )
     # Percent done of its work, or of a long-running task's startup.
     progress: int = 0
+    track: run_times.ProgressTrack = dataclasses.field(
+        default_factory=run_times.ProgressTrack
+    )
     # Earliest time of the next start; set after failures.
     not_before_s: float = 0.0
     # Since when the run has made no progress; 0 if it has.
@@ -151,6 +154,21 @@
         """Returns whether a run of the task may be under way."""
         return bool(self.worker)
 
+    def begin_run(self, worker: str, run: int, now_s: float) -> None:
+        """Sets the state of a run whose start is to be recorded."""
+        self.run = run
+        self.worker = worker
+        self.phase = Phase.STARTING
+        self.phase_since_s = now_s
+        self.orders = run_proofs.StartOrders()
+        self.progress = 0
+        self.track = run_times.ProgressTrack()
+        if not self.checkpoint:
+            self.track.note(0, now_s)
+        self.stalled_since_s = 0.0
+        self.borrowed_s = 0.0
+        self.crash_evidence.begin_run()
+
     def is_active_on(self, worker: str, run: int) -> bool:
         """Returns whether a run is the active one, on this worker."""
         return self.worker == worker and self.run == run
--- a/packages/wisterialug-core/src/wisterialug_core/workflow/preemption.py
+++ b/packages/wisterialug-core/src/wisterialug_core/workflow/preemption.py
@@ -20,6 +20,8 @@
 )
 
 if TYPE_CHECKING:
+    from collections.abc import Container
+
     from wisterialug_core.decisions import resources
     from wisterialug_core.schema import workflow_pb2
     from wisterialug_core.workflow import worker_table
@@ -44,11 +46,18 @@
     workers: worker_table.WorkerTable,
     now_s: float,
     now_ms: int,
+    waits_by_choice: Container[model.TaskKey] = (),
 ) -> list[model.Task]:
     """Returns the long-running tasks to stop.
 
-    They rest, and their workers' room is kept for short tasks. `now_s` is
-    monotonic time, `now_ms` Unix time.
+    They rest, and their workers' room is kept for short tasks.
+
+    Args:
+      jobs: The shard's jobs.
+      workers: The shard's workers.
+      now_s: Monotonic time.
+      now_ms: Unix time.
+      waits_by_choice: Tasks that could start now, and need no room.
     """
     usable = [w for w in workers.workers.values() if w.usable(now_s)]
     queue = step_placement.pending_groups(jobs, now_s, now_ms)
@@ -57,6 +66,7 @@
         for group, waiting in finite_first.select(queue, jobs, usable, now_ms)
         if _is_due(jobs, group, now_ms)
         for task in waiting
+        if task.key not in waits_by_choice
     ][:MAX_TASKS_PER_ROUND]
     if not due:
         return []
--- a/packages/wisterialug-core/src/wisterialug_core/workflow/step_placement.py
+++ b/packages/wisterialug-core/src/wisterialug_core/workflow/step_placement.py
@@ -14,8 +14,10 @@
     crash_trials,
     fill_interference,
     finite_first,
+    gang_placement,
     job_table,
     model,
+    placement_wait,
     task_placement,
     urgency,
     worker_rating,
@@ -42,19 +44,31 @@
     now_s: float,
     now_ms: int,
     order: urgency.Order = urgency.order,
+    waits: placement_wait.Waits | None = None,
 ) -> list[task_placement.Placement]:
     """Returns the starts that fit now, the most urgent first.
 
-    Resources are reserved for the returned starts. `now_s` is monotonic time,
-    `now_ms` Unix time; `order` returns the sort key of a group.
+    Resources are reserved for the returned starts.
+
+    Args:
+      jobs: The shard's jobs.
+      workers: The shard's workers.
+      interference: What is known of interference.
+      now_s: Monotonic time.
+      now_ms: Unix time.
+      order: Returns the sort key of a group.
+      waits: Waits for better places so far; without it, nothing waits.
     """
     usable = [w for w in workers.workers.values() if w.usable(now_s)]
     if not usable:
         return []
     queue = pending_groups(jobs, now_s, now_ms, order)[:MAX_GROUPS_PER_ROUND]
     trials = crash_trials.Trials(jobs, usable, queue)
+    wait_round = placement_wait.WaitRound(
+        waits or placement_wait.Waits(), jobs, workers, usable, now_s, now_ms
+    )
     this_round = _Round(
-        jobs, workers, interference, usable, trials, now_s, now_ms
+        jobs, workers, interference, usable, trials, wait_round, now_s, now_ms
     )
     for group, waiting in finite_first.select(queue, jobs, usable, now_ms):
         this_round.place(group, waiting, first=True)
@@ -62,6 +76,7 @@
         left = [task for task in waiting if task.pending]
         if left:
             this_round.place(group, left)
+    wait_round.close(this_round.placements)
     return this_round.placements
 
 
@@ -98,6 +113,7 @@
         interference: fill_interference.InterferenceModel,
         usable: list[worker_table.Worker],
         trials: crash_trials.Trials,
+        waits: placement_wait.WaitRound,
         now_s: float,
         now_ms: int,
     ) -> None:
@@ -109,6 +125,7 @@
         self._now_s = now_s
         self._now_ms = now_ms
         self._trials = trials
+        self._waits = waits
         self._has_spare = workers.reserved_share() < STARVED_RESERVED_LIMIT
         # Workers held for long-running tasks, which get what becomes free.
         self._held: set[str] = set()
@@ -137,32 +154,31 @@
         step = entry.job.steps[group.step]
         waiting = self._place_tried(group, waiting)
         starved = self._is_starved(entry, step)
-        if not waiting or (not starved and self._is_exhausted(entry, step)):
+        if not waiting:
             return
-        candidates = worker_rating.eligible_workers(entry, step, self._usable)
-        candidates = [
-            w for w in candidates if not self._trials.is_closed(w, group.job)
-        ]
-        if not step.long_running:
-            candidates = [
-                w for w in candidates if w.report.id not in self._held
-            ]
-        if not (first or step.fills):
-            candidates = [w for w in candidates if not self._is_kept(w, step)]
+        if not starved and self._is_exhausted(entry, step):
+            if self._waits.applies_to(step) and not step.gang:
+                on_rack = self._waits.on_rack(step.data_rack)
+                near = self._candidates(entry, step, on_rack, first=first)
+                self._wait_near(waiting, near)
+            return
+        candidates = self._candidates(entry, step, self._usable, first=first)
         if step.gang:
-            self.placements += task_placement.place_gang(
+            self.placements += gang_placement.place(
                 entry.group(group),
-                step,
                 candidates,
+                self._waits,
                 self._jobs,
                 self._workers,
                 self._fill_rooms,
+                self._now_s,
             )
             return
+        near = [w for w in candidates if w.rack == step.data_rack]
         queue = worker_rating.Candidates(
             step, group, candidates, self._fill_rooms, trials=self._trials
         )
-        for task in waiting:
+        for number, task in enumerate(waiting):
             worker = queue.best(task)
             if worker is None:
                 if step.long_running:
@@ -171,11 +187,49 @@
                     self._note_exhausted(entry, step)
                 if starved:
                     self._place_throttled(task, step, group, candidates)
+                elif self._waits.applies_to(step):
+                    self._wait_near(waiting[number:], near)
                 return
+            if (
+                self._waits.applies_to(step)
+                and worker.rack != step.data_rack
+                and self._waits.task_waits(task, near, elsewhere=True)
+            ):
+                continue
             starved = False
             self._reserve(task, worker)
             queue.update(worker)
 
+    def _candidates(
+        self,
+        entry: job_entry.JobEntry,
+        step: workflow_pb2.Step,
+        workers: list[worker_table.Worker],
+        *,
+        first: bool,
+    ) -> list[worker_table.Worker]:
+        """Returns those of the workers that may run tasks of a step now."""
+        candidates = worker_rating.eligible_workers(entry, step, workers)
+        job = entry.job.id
+        candidates = [
+            w for w in candidates if not self._trials.is_closed(w, job)
+        ]
+        if not step.long_running:
+            candidates = [
+                w for w in candidates if w.report.id not in self._held
+            ]
+        if not (first or step.fills):
+            candidates = [w for w in candidates if not self._is_kept(w, step)]
+        return candidates
+
+    def _wait_near(
+        self, waiting: list[model.Task], near: list[worker_table.Worker]
+    ) -> None:
+        """Notes which tasks stay for a near place: no worker has room now."""
+        for task in waiting:
+            if not self._waits.task_waits(task, near, elsewhere=False):
+                return
+
     def _place_tried(
         self, group: model.GroupKey, waiting: list[model.Task]
     ) -> list[model.Task]:
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/metrics.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/metrics.py
@@ -125,5 +125,10 @@
 TAKEOVER_SECONDS = _histogram(
     "takeover_seconds", "From an owner's last sign to a shard's load."
 )
+PLACEMENT_WAITS = _counter(
+    "placement_waits",
+    "Waits for a place near the data or the group, by outcome.",
+    ("outcome",),
+)
 CONFIG_VERSION = _gauge("config_version", "Version of the config in force.")
 READY = _gauge("ready", "1 while this VM is ready for callers.")
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/dispatcher.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/dispatcher.py
@@ -67,6 +67,7 @@
             self._owner.shard_workers,
             now_s,
             clock.wall_ms(),
+            self._owner.waits.chosen,
         ):
             self.stop(task, "room for short tasks")
 
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/election.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/election.py
@@ -91,7 +91,8 @@
         self._calls = calls
         self._registry = registry
         self._vms = vms
-        self._keeper = layout_keeper.LayoutKeeper(store, vms)
+        slowdown = cfg.remote_slowdown
+        self._keeper = layout_keeper.LayoutKeeper(store, vms, slowdown)
         self._shards: dict[str, _Shard] = {}
         self._add_shards()
         self._owned: dict[str, owner.ShardOwner] = {}
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/layout_keeper.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/layout_keeper.py
@@ -34,7 +34,17 @@
       damaged: The row in the store can't be read.
     """
 
-    def __init__(self, store: row_store.RowStore, vms: members.Members) -> None:
+    def __init__(
+        self,
+        store: row_store.RowStore,
+        vms: members.Members,
+        remote_slowdown: float = 1.0,
+    ) -> None:
+        self._remote_slowdown = (
+            remote_slowdown
+            if remote_slowdown > 1
+            else layouts.DEFAULT_REMOTE_SLOWDOWN
+        )
         self.layout = layouts.Layout()
         self.damaged = False
         self._store = store
@@ -118,7 +128,7 @@
     def _set_layout(self, decoded: workflow_pb2.Layout, version: int) -> None:
         self._version = version
         self.damaged = False
-        self.layout = layouts.Layout(decoded)
+        self.layout = layouts.Layout(decoded, self._remote_slowdown)
         logs.event(
             "layout",
             version=version,
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/owner.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/owner.py
@@ -12,6 +12,7 @@
     job_table,
     model,
     ownership,
+    placement_wait,
     step_placement,
     worker_table,
 )
@@ -78,6 +79,7 @@
         self._first_epoch = rows.epoch
         self.shard_jobs = job_table.JobTable()
         self.shard_workers = worker_table.WorkerTable()
+        self.waits = placement_wait.Waits(cfg.remote_slowdown)
         self.interference = fill_interference.InterferenceModel()
         self.calls = calls
         self.lost = False
@@ -263,7 +265,9 @@
                 self.interference,
                 now_s,
                 clock.wall_ms(),
+                waits=self.waits,
             )
+            owner_logs.log_waits(self.rows.shard, self.waits.take_changes())
         self._dispatcher.stop_unwanted()
         self._dispatcher.make_room(now_s)
         self._lender.check(now_s)
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/owner_logs.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/owner_logs.py
@@ -5,11 +5,13 @@
 from typing import TYPE_CHECKING
 
 from wisterialug_core.schema import workflow_pb2
-from wisterialug_core.workflow import model, urgency
+from wisterialug_core.workflow import model, placement_wait, urgency
 from wisterialug_daemon import logs, metrics
 from wisterialug_daemon.workflow import clock
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
     from wisterialug_core.workflow import (
         job_entry,
         job_table,
@@ -51,6 +53,38 @@
     )
 
 
+def log_waits(
+    shard: str,
+    changes: Iterable[placement_wait.Began | placement_wait.Ended],
+) -> None:
+    """Logs begun and ended waits for better places, one line for a step."""
+    for change in changes:
+        group = change.group
+        if isinstance(change, placement_wait.Began):
+            logs.event(
+                "placement-wait",
+                job=group.job,
+                repetition=group.repetition,
+                step=group.step,
+                shard=shard,
+                rack=change.rack,
+                tasks=change.tasks,
+                expected_s=round(change.expected_s, 3),
+                lost_elsewhere_s=round(change.lost_s, 3),
+            )
+            continue
+        metrics.PLACEMENT_WAITS.labels(change.outcome.value).inc()
+        logs.event(
+            "placement-wait-ended",
+            job=group.job,
+            repetition=group.repetition,
+            step=group.step,
+            shard=shard,
+            outcome=change.outcome.value,
+            waited_s=round(change.waited_s, 3),
+        )
+
+
 def log_placed(
     jobs: job_table.JobTable,
     placements: list[task_placement.Placement],
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/run_health.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/run_health.py
@@ -25,6 +25,7 @@
     """Stops a run that makes no progress, and sets its worker aside."""
     step = shard_owner.shard_jobs.step(task.key)
     now_s = report.reply.received_s
+    task.track.note(run.progress, now_s)
     if (
         run.progress != task.progress
         or step.long_running
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/settings.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/settings.py
@@ -18,6 +18,8 @@
       state_kept_s: How long the state of an ended job can be queried.
       processors: Processors that the process may use.
       link_mbps: Bandwidth of the VM's link, in megabits per second.
+      remote_slowdown: How many times as long a task takes away from its data,
+        or a gang on several racks; up to 1 where that makes no difference.
       stop_within_s: Time from the stop request until the process must end.
     """
 
@@ -30,6 +32,7 @@
     stop_within_s: float
     processors: float = 1.0
     link_mbps: float = 1000.0
+    remote_slowdown: float = 1.0
 
     @property
     def owner_id(self) -> str:
--- a/tests/test_core/test_workflow/test_layouts.py
+++ b/tests/test_core/test_workflow/test_layouts.py
@@ -162,6 +162,16 @@
         chosen = self.choose(job(data_rack="r0"), loads(*waits))
         self.assertLess(chosen[near], 0.15 * 200)
 
+    def test_slower_far_runs_outweigh_a_longer_wait(self):
+        # Away from its data the task takes 2 s more, beside a wait of 1.5 s.
+        near = self.layout.shard_of(self.reports[0])
+        waits = [0.0] * 4
+        waits[near] = 1.5
+        new_job = job(data_rack="r0")
+        self.assertLess(self.choose(new_job, loads(*waits))[near], 0.2 * 200)
+        self.layout = layouts.Layout(self.layout.message, remote_slowdown=3.0)
+        self.assertEqual({near}, set(self.choose(new_job, loads(*waits))))
+
     def test_job_goes_to_shard_with_its_label(self):
         reports = [*self.reports, report("x", "x0", labels=("gpu",))]
         layout = layouts.Layout(layouts.extend(self.layout, reports))
--- a/tests/test_platform/test_decoding.py
+++ b/tests/test_platform/test_decoding.py
@@ -187,6 +187,14 @@
         )
         self.assertEqual("limits.link_mbps", cfg.err_value.field)
 
+    def test_slowdown_away_from_data(self):
+        cfg = self.read(SETTINGS).ok_value
+        self.assertEqual(1, cfg.workflow.remote_slowdown)
+        cfg = self.read(
+            SETTINGS.replace("[bounds]", "[bounds]\nremote_factor = 3")
+        )
+        self.assertEqual(3, cfg.ok_value.workflow.remote_slowdown)
+
     def test_differences_of_a_reload(self):
         old = self.read(SETTINGS).ok_value
         same = self.read(SETTINGS).ok_value
