Tasks near data are lent where waiting for their rack does not pay

Cause: steps that name the rack of their data were never lent, also where the rack stays full for longer than a run elsewhere takes, beside a shard with room.

The lender now leaves out only those for which the latest placement round found that waiting here pays. Without a known slowdown they stay, as before.

--- a/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/lender.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/lender.py
@@ -12,7 +12,11 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Mapping
 
-    from wisterialug_core.workflow import job_entry, job_table
+    from wisterialug_core.workflow import (
+        job_entry,
+        job_table,
+        placement_wait,
+    )
     from wisterialug_daemon.workflow import layout_keeper
 
 # Finite tasks are lent by the first check that finds them waiting: how soon room
@@ -41,6 +45,7 @@
         store: row_store.RowStore,
         keeper: layout_keeper.LayoutKeeper,
         others: Callable[[], Mapping[str, workflow_pb2.Ownership]],
+        waits: placement_wait.Waits,
     ) -> None:
         self._shard = shard
         self._keeper = keeper
@@ -49,6 +54,7 @@
         self._loans = loans.Loans(shard, jobs)
         # Returns the other shards that have a live owner.
         self._others = others
+        self._waits = waits
         self._checked_s = 0.0
         self._waiting_since_s: dict[model.TaskKey, float] = {}
         # Target shards of uncommitted loans, by job.
@@ -137,13 +143,21 @@
         for group, tasks in groups:
             entry = self._jobs.jobs[group.job]
             step = entry.job.steps[group.step]
+            # Tasks whose data are on a rack leave only if waiting for it does
+            # not pay, which is not known where nothing waits for a place.
             if entry.home and not (
-                step.long_running or step.gang or step.data_rack
+                step.long_running
+                or step.gang
+                or (step.data_rack and not self._waits.applies_to(step))
             ):
                 eligible = self._eligible(
                     entry.job.policy.service, step.required_label
                 )
-                waiting += [(task, step, eligible) for task in tasks]
+                waiting += [
+                    (task, step, eligible)
+                    for task in tasks
+                    if task.key not in self._waits.stay
+                ]
         if not waiting:
             return
         offers = {
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/owner.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/owner.py
@@ -90,7 +90,12 @@
         self._sessions = worker_sessions.WorkerSessions(self)
         self._dispatcher = dispatcher.Dispatcher(self)
         self._lender = lender.Lender(
-            rows.shard, self.shard_jobs, store, keeper, room_elsewhere
+            rows.shard,
+            self.shard_jobs,
+            store,
+            keeper,
+            room_elsewhere,
+            self.waits,
         )
         self._shared_effects = shared_effects.SharedEffects(self, store, keeper)
         self._recorder = shard_recorder.ShardRecorder(self, self._lender)
--- a/tests/test_daemon/test_returned_loans.py
+++ b/tests/test_daemon/test_returned_loans.py
@@ -8,7 +8,7 @@
 
 from tests.test_daemon import workflow_base
 from wisterialug_core.schema import workflow_pb2
-from wisterialug_core.workflow import job_entry, job_table
+from wisterialug_core.workflow import job_entry, job_table, placement_wait
 from wisterialug_daemon.workflow import (
     lender,
     records,
@@ -94,6 +94,11 @@
 
         store.scan.side_effect = scan
         loans = lender.Lender(
-            "s0", job_table.JobTable(), store, mock.Mock(), dict
+            "s0",
+            job_table.JobTable(),
+            store,
+            mock.Mock(),
+            dict,
+            placement_wait.Waits(),
         )
         self.assertFalse(loans.is_borrowed(entry))
