Shards offer room for tasks of all sizes that their workers have

Cause: room was offered in sizes up to 16 cores, so that a task of 34 cores waited in its shard beside another one with an idle worker of 64; a shard with room for one task of a size offered none, as half of the offer was rounded down.

Sizes go on by index in steps of a half up to the largest worker; earlier owners read the first five, which stay. Half of an offer is rounded up. Tasks that wait by choice do not hold the room of their shard back from others.

test_lending: on the earlier code the loan of a task of 34 cores, the number of sizes and the room beside tasks that wait by choice fail.

--- a/packages/wisterialug-core/src/wisterialug_core/workflow/lending.py
+++ b/packages/wisterialug-core/src/wisterialug_core/workflow/lending.py
@@ -13,7 +13,7 @@
 from wisterialug_core.workflow import step_placement
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable, Mapping
+    from collections.abc import Container, Iterable, Mapping
 
     from wisterialug_core.schema import workflow_pb2
     from wisterialug_core.workflow import job_table, model, worker_table
@@ -24,8 +24,23 @@
 ROOM_FACTOR = 3.0
 # After this many loans, a task stays and waits in its current shard.
 MAX_LOANS = 12
-# Sizes of finite tasks for which shards report how many fit.
-TASK_SIZES_MILLICORES = (1000, 2000, 4000, 8000, 16000)
+# Sizes of finite tasks for which shards report how many fit, up to that of
+# their largest worker. The stored report is by index: sizes are only added.
+TASK_SIZES_MILLICORES = (
+    1000,
+    2000,
+    4000,
+    8000,
+    16_000,
+    24_000,
+    32_000,
+    48_000,
+    64_000,
+    96_000,
+    128_000,
+    192_000,
+    256_000,
+)
 # Share of the reported capacity that one shard may use: others lend as well,
 # and the report is up to a second old.
 OFFER_SHARE = 0.5
@@ -58,7 +73,8 @@
     """What a shard can run beside its own waiting tasks.
 
     Attributes:
-      free_slots: How many finite tasks fit, by TASK_SIZES_MILLICORES.
+      free_slots: How many finite tasks fit, by TASK_SIZES_MILLICORES;
+        those that are larger than any worker are left out.
       fill_room_millicores: Processor time left for fill work.
     """
 
@@ -71,22 +87,35 @@
     workers: worker_table.WorkerTable,
     now_s: float,
     now_ms: int,
+    waits_by_choice: Container[model.TaskKey] = (),
 ) -> SpareCapacity:
-    """Returns what the shard can run beside its own waiting tasks."""
+    """Returns what the shard can run beside its own waiting tasks.
+
+    Args:
+      jobs: The shard's jobs.
+      workers: The shard's workers.
+      now_s: Monotonic time.
+      now_ms: Unix time.
+      waits_by_choice: Tasks that wait though there is room for them.
+    """
     usable = [w for w in workers.workers.values() if w.usable(now_s)]
     least_waiting = math.inf
     fill_waits = False
-    for group, _ in step_placement.pending_groups(jobs, now_s, now_ms):
+    for group, waiting in step_placement.pending_groups(jobs, now_s, now_ms):
+        if all(task.key in waits_by_choice for task in waiting):
+            continue
         step = jobs.step(group)
         if step.fills:
             fill_waits = True
         else:
             least_waiting = min(least_waiting, step.cpu_millicores)
     free = [max(0, w.free().cpu_millicores) for w in usable]
+    largest = max((w.report.capacity.cpu_millicores for w in usable), default=0)
     return SpareCapacity(
         tuple(
             0 if size >= least_waiting else sum(f // size for f in free)
             for size in TASK_SIZES_MILLICORES
+            if size <= largest
         ),
         0
         if fill_waits
@@ -98,7 +127,8 @@
     """What another shard can take, reduced by what is lent to it."""
 
     def __init__(self, spare: SpareCapacity) -> None:
-        self._slots = [int(n * OFFER_SHARE) for n in spare.free_slots]
+        # Rounded up: few workers have room for the largest tasks.
+        self._slots = [math.ceil(n * OFFER_SHARE) for n in spare.free_slots]
         self._fill_millicores = int(spare.fill_room_millicores * OFFER_SHARE)
 
     def tasks(self, step: workflow_pb2.Step) -> int:
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/shard_recorder.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/shard_recorder.py
@@ -100,7 +100,9 @@
         metrics.SHARD_EPOCH.labels(shard).set(self._owner.epoch)
         metrics.SHARD_JOBS.labels(shard).set(len(self._jobs.open_jobs))
         metrics.SHARD_BACKLOG.labels(shard).set(backlog_core_ms / 1000)
-        spare = lending.spare_capacity(self._jobs, workers, now_s, now_ms)
+        spare = lending.spare_capacity(
+            self._jobs, workers, now_s, now_ms, self._owner.waits.chosen
+        )
         return workflow_pb2.Ownership(
             owner=self._owner.cfg.owner_id,
             epoch=self._rows.next_epoch,
--- a/tests/test_core/test_workflow/test_lending.py
+++ b/tests/test_core/test_workflow/test_lending.py
@@ -2,8 +2,9 @@
 
 import testtools
 
+from wisterialug_core.decisions import resources
 from wisterialug_core.schema import workflow_pb2
-from wisterialug_core.workflow import lending, model
+from wisterialug_core.workflow import job_table, lending, model, worker_table
 
 
 def tasks(count):
@@ -81,3 +82,69 @@
     def test_task_larger_than_all_sizes(self):
         offer = self.offer((400, 200, 100, 40, 20))
         self.assertEqual([], self.chosen(self.waiting(1, cpu=20_000), s1=offer))
+
+
+class LargeTasksTest(testtools.TestCase):
+    """A shard whose workers differ in size, beside large tasks that wait."""
+
+    def setUp(self):
+        super().setUp()
+        self.jobs = job_table.JobTable()
+        self.pool = worker_table.WorkerTable()
+
+    def worker(self, name, cpu, used=0):
+        worker = self.pool.update(
+            model.WorkerReport(
+                id=name,
+                address="10.0.0.1:1",
+                service="app",
+                data_centre="d",
+                state=model.WorkerState.READY,
+                capacity=resources.Amount(cpu, 256_000, 0),
+                labels=("a", "r1"),
+                remaining_ms=0,
+            )
+        )
+        worker.fenced = True
+        worker.reserved = resources.Amount(used, 0, 0)
+
+    def spare(self, chosen=()):
+        return lending.spare_capacity(self.jobs, self.pool, 9.0, 9000, chosen)
+
+    def lent(self, count, cpu, slots):
+        step = workflow_pb2.Step(cpu_millicores=cpu)
+        waiting = [
+            (model.Task(model.TaskKey("j", 0, 0, n)), step, {"s1"})
+            for n in range(count)
+        ]
+        offer = lending.Offer(lending.SpareCapacity(slots))
+        return len(lending.choose_finite(waiting, {"s1": offer}))
+
+    def test_task_of_34_cores_is_lent_to_a_free_worker_of_64(self):
+        self.worker("busy", 32_000, used=31_000)
+        self.worker("large", 64_000)
+        self.assertEqual(1, self.lent(3, 34_000, self.spare().free_slots))
+
+    def test_task_is_not_lent_to_fragments_of_its_size(self):
+        for number in range(9):
+            self.worker(f"w{number}", 64_000, used=32_000)
+        self.assertEqual(0, self.lent(3, 34_000, self.spare().free_slots))
+
+    def test_no_sizes_are_offered_that_no_worker_has(self):
+        self.worker("w", 32_000)
+        self.assertEqual(7, len(self.spare().free_slots))
+
+    def test_first_sizes_stay_as_earlier_owners_read_them(self):
+        self.worker("w", 64_000)
+        self.assertEqual((64, 32, 16, 8, 4), self.spare().free_slots[:5])
+        # What an earlier owner offers ends there.
+        self.assertEqual(2, self.lent(3, 16_000, (64, 32, 16, 8, 4)))
+        self.assertEqual(0, self.lent(3, 17_000, (64, 32, 16, 8, 4)))
+
+    def test_tasks_that_wait_by_choice_leave_the_room_to_others(self):
+        self.worker("w", 16_000)
+        step = workflow_pb2.Step(count=1, cpu_millicores=500, data_rack="r9")
+        self.jobs.add(workflow_pb2.Job(id="j", steps=[step]))
+        self.assertEqual(set(), {n for n in self.spare().free_slots if n})
+        chosen = {model.TaskKey("j", 0, 0, 0)}
+        self.assertEqual(16, self.spare(chosen).free_slots[0])
