--- a/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/owner.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/owner.py
@@ -12,6 +12,7 @@
     job_table,
     model,
     ownership,
+    placement_wait,
     step_placement,
     worker_table,
 )
@@ -78,6 +79,7 @@
         self._first_epoch = rows.epoch
         self.shard_jobs = job_table.JobTable()
         self.shard_workers = worker_table.WorkerTable()
+        self.waits = placement_wait.Waits(cfg.remote_slowdown)
         self.interference = fill_interference.InterferenceModel()
         self.calls = calls
         self.lost = False
@@ -88,7 +90,12 @@
         self._sessions = worker_sessions.WorkerSessions(self)
         self._dispatcher = dispatcher.Dispatcher(self)
         self._lender = lender.Lender(
-            rows.shard, self.shard_jobs, store, keeper, room_elsewhere
+            rows.shard,
+            self.shard_jobs,
+            store,
+            keeper,
+            room_elsewhere,
+            self.waits,
         )
         self._shared_effects = shared_effects.SharedEffects(self, store, keeper)
         self._recorder = shard_recorder.ShardRecorder(self, self._lender)
@@ -263,7 +270,9 @@
                 self.interference,
                 now_s,
                 clock.wall_ms(),
+                waits=self.waits,
             )
+            owner_logs.log_waits(self.rows.shard, self.waits.take_changes())
         self._dispatcher.stop_unwanted()
         self._dispatcher.make_room(now_s)
         self._lender.check(now_s)
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/run_health.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/run_health.py
@@ -27,6 +27,7 @@
         _compare(shard_owner, session, task, run, report)
     step = shard_owner.shard_jobs.step(task.key)
     now_s = report.reply.received_s
+    task.track.note(run.progress, now_s)
     if (
         run.progress != task.progress
         or step.long_running
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/settings.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/settings.py
@@ -20,6 +20,8 @@
       link_mbps: Bandwidth of the VM's link, in megabits per second.
       compares_runs: Workers may be slow though they report themselves well, so
         runs are compared with the others of their step.
+      remote_slowdown: How many times as long a task takes away from its data,
+        or a gang on several racks; up to 1 where that makes no difference.
       stop_within_s: Time from the stop request until the process must end.
     """
 
@@ -33,6 +35,7 @@
     processors: float = 1.0
     link_mbps: float = 1000.0
     compares_runs: bool = False
+    remote_slowdown: float = 1.0
 
     @property
     def owner_id(self) -> str:
