Of several changes of a row in one answer of the feed, the last one counts

Cause: the adapter splits an answer into rows written and rows removed, and loses their order. A row removed and written again within one answer was in both lists: a worker's entry that came back within it was taken for gone, and an operator's row would be.

--- a/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/row_store.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/row_store.py
@@ -53,7 +53,10 @@
 
 @dataclasses.dataclass(frozen=True)
 class Changes:
-    """Rows of a table that changed after a version, in order."""
+    """Rows of a table that changed after a version, in order, as they are now.
+
+    A row is in one of both lists only: it may be removed and written again.
+    """
 
     rows: tuple[Row, ...]
     removed: tuple[RowRef, ...]
