--- a/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/election.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/election.py
@@ -2,14 +2,12 @@
 
 from __future__ import annotations
 
-import dataclasses
 import functools
 import random
 from typing import TYPE_CHECKING
 
 import eventlet
 import eventlet.event
-from google.protobuf import message
 
 from wisterialug_core.schema import workflow_pb2
 from wisterialug_core.workflow import ownership
@@ -23,6 +21,7 @@
     records,
     row_store,
     shard_store,
+    shard_view,
 )
 
 if TYPE_CHECKING:
@@ -59,22 +58,6 @@
 MIN_HELD_S = 3.0
 
 
-@dataclasses.dataclass
-class _Shard:
-    """A shard's last known ownership.
-
-    Attributes:
-      changed_s: When its row was last seen to change.
-      claim_s: When this process will claim it; 0 if not scheduled.
-    """
-
-    ownership: workflow_pb2.Ownership
-    version: int = 0
-    changed_s: float = 0.0
-    claim_s: float = 0.0
-    backoff_until_s: float = 0.0
-
-
 class Election:
     """Watches the owners of all shards; runs those that it claims."""
 
@@ -92,7 +75,7 @@
         self._registry = registry
         self._vms = vms
         self._keeper = layout_keeper.LayoutKeeper(store, vms)
-        self._shards: dict[str, _Shard] = {}
+        self._shards: dict[str, shard_view.ShardView] = {}
         self._add_shards()
         self._owned: dict[str, owner.ShardOwner] = {}
         self._greenlets = pool.Greenlets()
@@ -200,7 +183,8 @@
     def _add_shards(self) -> None:
         for number in range(self.layout.shards):
             self._shards.setdefault(
-                records.shard_name(number), _Shard(workflow_pb2.Ownership())
+                records.shard_name(number),
+                shard_view.ShardView(workflow_pb2.Ownership()),
             )
 
     def _apply_layout(self, row: row_store.Row) -> None:
@@ -214,26 +198,8 @@
             self._apply_layout(row)
             return
         shard = self._shards.get(row.ref.part)
-        if shard is None or row.version <= shard.version:
-            return
-        try:
-            ownership = workflow_pb2.Ownership.FromString(row.value)
-        except message.DecodeError as exc:
-            logs.warning(
-                "owner-row-unreadable", shard=row.ref.part, error=str(exc)
-            )
-            return
-        if ownership.owner != shard.ownership.owner:
-            logs.event(
-                "shard-owner-seen",
-                shard=row.ref.part,
-                owner=ownership.owner,
-                epoch=ownership.epoch,
-            )
-        shard.ownership = ownership
-        shard.version = row.version
-        shard.changed_s = clock.now_s()
-        shard.claim_s = 0.0
+        if shard is not None:
+            shard.apply(row)
 
     def _check(self) -> None:
         while not self._closing:
@@ -245,7 +211,7 @@
                 if name not in self._owned and self._is_free(shard):
                     self._maybe_claim(name, shard)
 
-    def _is_free(self, shard: _Shard) -> bool:
+    def _is_free(self, shard: shard_view.ShardView) -> bool:
         now_s = clock.now_s()
         if now_s < shard.backoff_until_s:
             return False
@@ -254,13 +220,13 @@
         silent_since_s = max(shard.changed_s, self._reachable_since_s)
         return now_s - silent_since_s > OWNER_TIMEOUT_S
 
-    def _is_earlier_process(self, shard: _Shard) -> bool:
+    def _is_earlier_process(self, shard: shard_view.ShardView) -> bool:
         """Returns whether the owner is an earlier process of this VM."""
         owner_id = shard.ownership.owner
         same_vm = owner_id.rpartition("/")[0] == self._cfg.node
         return same_vm and owner_id != self._cfg.owner_id
 
-    def _maybe_claim(self, name: str, shard: _Shard) -> None:
+    def _maybe_claim(self, name: str, shard: shard_view.ShardView) -> None:
         now_s = clock.now_s()
         if not shard.claim_s:
             if self._is_earlier_process(shard):
@@ -320,7 +286,7 @@
                     "this VM owns more than it can carry", BALANCE_BACKOFF_S
                 )
 
-    def _claim(self, name: str, shard: _Shard) -> None:
+    def _claim(self, name: str, shard: shard_view.ShardView) -> None:
         ownership = workflow_pb2.Ownership(
             owner=self._cfg.owner_id,
             epoch=shard.ownership.epoch + 1,
