No run starts in a data centre that an operator has evacuated

Change: each VM follows the rows in its watch of the config. Workers of an evacuated data centre are not usable, so that no placement, gang, trial, loan or stop to make room counts on them, and their room is not reported. The dispatcher asks again before each attempt. Evacuations that are not read yet, or were read longer ago than four fifths of the time within which they must be in force, cover all data centres. What runs there runs on. It applies where the settings name the contract and the bound.

--- a/packages/wisterialug-core/src/wisterialug_core/workflow/worker_table.py
+++ b/packages/wisterialug-core/src/wisterialug_core/workflow/worker_table.py
@@ -8,6 +8,7 @@
 
 from wisterialug_core.decisions import resources
 from wisterialug_core.workflow import (
+    evacuations,
     fill_samples,
     health,
     job_table,
@@ -48,6 +49,7 @@
         under this one.
       reborn_s: When it replaced an earlier incarnation, whose orders may reach
         it; 0 if none is known.
+      evacuated: Its data centre is out of service, or may be.
     """
 
     report: model.WorkerReport
@@ -81,6 +83,12 @@
     drained: bool = False
     least_epoch: int = 0
     reborn_s: float = 0.0
+    evacuated: bool = False
+
+    @property
+    def listed_as_ready(self) -> bool:
+        """Returns whether the list of workers shows it as ready."""
+        return self.report.state is model.WorkerState.READY
 
     @property
     def rack(self) -> str:
@@ -90,7 +98,8 @@
     def usable(self, now_s: float) -> bool:
         """Returns whether the worker may get new runs."""
         return (
-            self.report.state is model.WorkerState.READY
+            self.listed_as_ready
+            and not self.evacuated
             and self.fenced
             and not self.gone
             and not self.silent_since_s
@@ -155,6 +164,15 @@
         self.workers: dict[str, Worker] = {}
         # Latest incarnation of each name.
         self._current: dict[str, Worker] = {}
+        self._evacuated = evacuations.NONE
+
+    def set_evacuated(self, evacuated: evacuations.Evacuations) -> None:
+        """Sets the data centres whose workers get no new runs."""
+        if evacuated == self._evacuated:
+            return
+        self._evacuated = evacuated
+        for worker in self.workers.values():
+            worker.evacuated = evacuated.covers(worker.report.data_centre)
 
     def current(self, name: str) -> Worker | None:
         """Returns the latest incarnation of a worker that is known."""
@@ -169,6 +187,7 @@
             self._current[report.name] = worker
         else:
             worker.report = report
+        worker.evacuated = self._evacuated.covers(report.data_centre)
         if report.state is model.WorkerState.DRAINING:
             worker.drained = True
         return worker
@@ -265,7 +284,7 @@
         ready = [
             w
             for w in self.workers.values()
-            if w.report.state is model.WorkerState.READY
+            if w.listed_as_ready and not w.evacuated
         ]
         total = sum(w.report.capacity.cpu_millicores for w in ready)
         return sum(w.reserved.cpu_millicores for w in ready) / max(1, total)
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/metrics.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/metrics.py
@@ -126,4 +126,12 @@
     "takeover_seconds", "From an owner's last sign to a shard's load."
 )
 CONFIG_VERSION = _gauge("config_version", "Version of the config in force.")
+EVACUATIONS = _gauge(
+    "evacuations", "Data centres out of service, as known here."
+)
+EVACUATED_WORK = _gauge(
+    "evacuated_work",
+    "Waiting tasks that fit nowhere but in data centres out of service.",
+    ("shard",),
+)
 READY = _gauge("ready", "1 while this VM is ready for callers.")
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/config_watch.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/config_watch.py
@@ -7,7 +7,12 @@
 import eventlet
 
 from wisterialug_daemon import logs, metrics
-from wisterialug_daemon.workflow import errors, pool
+from wisterialug_daemon.workflow import (
+    clock,
+    errors,
+    evacuation_view,
+    pool,
+)
 
 if TYPE_CHECKING:
     from wisterialug_core.workflow import routes
@@ -19,14 +24,27 @@
 
 
 class ConfigWatch:
-    """Follows the operators' config.
+    """Follows the operators' config and their evacuations.
 
     Attributes:
       table: The newest config seen; None before the first.
+      evacuations: The data centres out of service.
     """
 
-    def __init__(self, source: sources.ConfigSource) -> None:
+    def __init__(
+        self, source: sources.ConfigSource, evacuated_within_ms: int | None
+    ) -> None:
+        """Creates a watch.
+
+        Args:
+          source: The config.
+          evacuated_within_ms: Time within which an evacuation must be in
+            force; None where data centres are not evacuated.
+        """
         self.table: routes.RouteTable | None = None
+        self.evacuations = evacuation_view.EvacuationView(evacuated_within_ms)
+        max_age_s = self.evacuations.max_age_s or WATCH_WAIT_S * 4
+        self._wait_s = min(WATCH_WAIT_S, max_age_s / 4)
         self._source = source
         self._greenlets = pool.Greenlets()
         self._connected = True
@@ -42,10 +60,13 @@
     def _run(self) -> None:
         cursor = -1
         while True:
+            asked_s = clock.now_s()
+            # After an outage, owners wait to hear whether anything has changed.
+            wait_s = self._wait_s if self._connected else 0.0
             outcome = (
                 self._source.read()
                 if cursor < 0
-                else self._source.watch(cursor, WATCH_WAIT_S)
+                else self._source.watch(cursor, wait_s)
             )
             if outcome.is_err():
                 self._set_connected(False, str(outcome.err_value))
@@ -56,6 +77,8 @@
             self._set_connected(True, "")
             cursor = outcome.ok_value.cursor
             self._apply(outcome.ok_value.table)
+            if outcome.ok_value.evacuations is not None:
+                self.evacuations.apply(outcome.ok_value.evacuations, asked_s)
 
     def _apply(self, table: routes.RouteTable | None) -> None:
         if table is None:
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/dispatcher.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/dispatcher.py
@@ -128,6 +128,9 @@
                 # It may have begun to drain since the run was placed there.
                 self._abandon(start, "worker takes no new runs")
                 return
+            if self._owner.evacuations.covers(worker):
+                self._abandon(start, "data centre is out of service", 0.0)
+                return
             entry = self._owner.shard_jobs.jobs[task.key.job]
             deadline_ms = worker.lease.grant(
                 clock.now_s(),
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/election.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/election.py
@@ -10,7 +10,7 @@
 import eventlet.event
 
 from wisterialug_core.schema import workflow_pb2
-from wisterialug_core.workflow import ownership
+from wisterialug_core.workflow import evacuations, ownership
 from wisterialug_daemon import logs, metrics
 from wisterialug_daemon.workflow import (
     clock,
@@ -25,6 +25,8 @@
 )
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from wisterialug_core.workflow import layouts
     from wisterialug_daemon.workflow import (
         members,
@@ -68,12 +70,17 @@
         calls: worker_calls.WorkerCalls,
         registry: sources.WorkerRegistry,
         vms: members.Members,
+        evacuated: Callable[[], evacuations.Evacuations] = (
+            lambda: evacuations.NONE
+        ),
     ) -> None:
         self._cfg = cfg
         self._store = store
         self._calls = calls
         self._registry = registry
         self._vms = vms
+        # Returns the data centres in which no runs may start now.
+        self._evacuated = evacuated
         self._keeper = layout_keeper.LayoutKeeper(store, vms)
         self._shards: dict[str, shard_view.ShardView] = {}
         self._add_shards()
@@ -337,6 +344,7 @@
             self._registry,
             self._keeper,
             functools.partial(self._other_shards, name),
+            self._evacuated,
         )
         self._owned[name] = shard_owner
         for other in self._shards.values():
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/owner.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/owner.py
@@ -23,6 +23,7 @@
     owner_logs,
     pool,
     shard_contents,
+    shard_evacuations,
     shard_feeds,
     shard_recorder,
     shard_store,
@@ -34,7 +35,11 @@
     from collections.abc import Callable, Mapping
 
     from wisterialug_core.schema import workflow_pb2
-    from wisterialug_core.workflow import run_proofs, task_placement
+    from wisterialug_core.workflow import (
+        evacuations,
+        run_proofs,
+        task_placement,
+    )
     from wisterialug_daemon.workflow import (
         layout_keeper,
         row_store,
@@ -72,6 +77,7 @@
         registry: sources.WorkerRegistry,
         keeper: layout_keeper.LayoutKeeper,
         room_elsewhere: Callable[[], Mapping[str, workflow_pb2.Ownership]],
+        evacuated: Callable[[], evacuations.Evacuations],
     ) -> None:
         self.cfg = cfg
         self.rows = rows
@@ -82,6 +88,7 @@
         self.calls = calls
         self.lost = False
         self.claim_backoff_s = CLAIM_BACKOFF_S
+        self.evacuations = shard_evacuations.ShardEvacuations(self, evacuated)
         self.greenlets = pool.Greenlets()
         self.acquired_s = clock.now_s()
         self._feeds = shard_feeds.ShardFeeds(self, store, registry, keeper)
@@ -124,6 +131,10 @@
         if not self._wake.ready():
             self._wake.send()
 
+    def listed_data_centres(self) -> set[str]:
+        """Returns the data centres of all listed workers, of any shard."""
+        return self._feeds.data_centres()
+
     def apply_layout(self) -> None:
         """Adds workers that a new layout assigns to the shard."""
         if self._feeds.registry_seen:
@@ -256,6 +267,7 @@
         if self._stopping:
             self._release()
             return
+        self.evacuations.apply(now_s)
         if self._feeds.registry_seen:
             self._pending += step_placement.plan(
                 self.shard_jobs,
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/settings.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/settings.py
@@ -19,6 +19,8 @@
       processors: Processors that the process may use.
       link_mbps: Bandwidth of the VM's link, in megabits per second.
       stop_within_s: Time from the stop request until the process must end.
+      evacuated_within_ms: Time within which no more runs start in a data centre
+        that is taken out of service; None where that is not provided for.
     """
 
     node: str
@@ -30,6 +32,7 @@
     stop_within_s: float
     processors: float = 1.0
     link_mbps: float = 1000.0
+    evacuated_within_ms: int | None = None
 
     @property
     def owner_id(self) -> str:
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/shard_feeds.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/shard_feeds.py
@@ -58,6 +58,10 @@
         self._store = store
         self._registry = registry
 
+    def data_centres(self) -> set[str]:
+        """Returns the data centres of all listed workers, of any shard."""
+        return {report.data_centre for report in self._listed.values()}
+
     def start(self) -> None:
         """Starts to follow both until the shard is lost."""
         self._owner.greenlets.supervise(self._watch_registry)
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/sources.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/sources.py
@@ -9,7 +9,7 @@
 if TYPE_CHECKING:
     import result
 
-    from wisterialug_core.workflow import model, routes
+    from wisterialug_core.workflow import evacuations, model, routes
     from wisterialug_daemon.workflow import errors
 
 
@@ -44,10 +44,18 @@
 
 @dataclasses.dataclass(frozen=True)
 class ConfigChange:
-    """The newest config; None where it has not changed or is unreadable."""
+    """What operators have changed.
+
+    Attributes:
+      table: The newest config; None where it has not changed or is unreadable.
+      cursor: Version from which to watch.
+      evacuations: Changes of the data centres out of service; None where the
+        source does not follow them.
+    """
 
     table: routes.RouteTable | None
     cursor: int
+    evacuations: evacuations.Changes | None = None
 
 
 class ConfigSource(abc.ABC):
--- a/tests/test_daemon/workflow_base.py
+++ b/tests/test_daemon/workflow_base.py
@@ -9,12 +9,18 @@
 from wisterialug_core.workflow import model, routes
 from wisterialug_daemon.workflow import (
     clock,
+    config_watch,
     election,
     intake,
     members,
     settings,
 )
-from wisterialug_standins import emulated_workers, memory_store, run_oracle
+from wisterialug_standins import (
+    emulated_operator,
+    emulated_workers,
+    memory_store,
+    run_oracle,
+)
 
 ROUTE = routes.Route(
     "r",
@@ -39,6 +45,7 @@
         boot="1",
         processors=1.0,
         state_kept_s=60,
+        evacuated_within_ms=None,
     ):
         cfg = settings.WorkflowSettings(
             node=name,
@@ -49,16 +56,28 @@
             state_kept_s=state_kept_s,
             stop_within_s=5,
             processors=processors,
+            evacuated_within_ms=evacuated_within_ms,
+        )
+        self.config = config_watch.ConfigWatch(
+            emulated_operator.EvacuationRows(store), evacuated_within_ms
         )
         self.members = members_of(name, store, processors)
         self.election = election.Election(
-            cfg, store, calls, registry, self.members
+            cfg,
+            store,
+            calls,
+            registry,
+            self.members,
+            self.config.evacuations.current,
         )
         self.intake = intake.Intake(store, self.election)
+        if evacuated_within_ms is not None:
+            self.config.start()
         self.members.start()
         self.election.start()
 
     def close(self):
+        self.config.close()
         self.members.close()
         self.election.close()
 
@@ -79,6 +98,8 @@
     # Of each VM.
     processors = 1.0
     state_kept_s = 60
+    # None where data centres are not evacuated.
+    evacuated_within_ms = None
 
     def setUp(self):
         super().setUp()
@@ -134,6 +155,7 @@
             boot,
             self.processors,
             self.state_kept_s,
+            self.evacuated_within_ms,
         )
         self.addCleanup(self.nodes[name].close)
 
--- a/tests/test_platform/test_decoding.py
+++ b/tests/test_platform/test_decoding.py
@@ -154,12 +154,17 @@
             self.assertIn(text, str(exc))
 
 
+def read(text):
+    """Reads settings from a file with this text."""
+    with tempfile.TemporaryDirectory() as folder:
+        path = pathlib.Path(folder) / "s.toml"
+        path.write_text(text)
+        return settings.read(str(path))
+
+
 class SettingsTest(testtools.TestCase):
     def read(self, text):
-        with tempfile.TemporaryDirectory() as folder:
-            path = pathlib.Path(folder) / "s.toml"
-            path.write_text(text)
-            return settings.read(str(path))
+        return read(text)
 
     def test_fields(self):
         cfg = self.read(SETTINGS).ok_value
