--- a/tests/test_daemon/workflow_base.py
+++ b/tests/test_daemon/workflow_base.py
@@ -9,12 +9,18 @@
 from wisterialug_core.workflow import model, routes
 from wisterialug_daemon.workflow import (
     clock,
+    config_watch,
     election,
     intake,
     members,
     settings,
 )
-from wisterialug_standins import emulated_workers, memory_store, run_oracle
+from wisterialug_standins import (
+    emulated_operator,
+    emulated_workers,
+    memory_store,
+    run_oracle,
+)
 
 ROUTE = routes.Route(
     "r",
@@ -40,6 +46,7 @@
         processors=1.0,
         state_kept_s=60,
         compares_runs=False,
+        evacuated_within_ms=None,
     ):
         cfg = settings.WorkflowSettings(
             node=name,
@@ -51,16 +58,28 @@
             stop_within_s=5,
             processors=processors,
             compares_runs=compares_runs,
+            evacuated_within_ms=evacuated_within_ms,
+        )
+        self.config = config_watch.ConfigWatch(
+            emulated_operator.EvacuationRows(store), evacuated_within_ms
         )
         self.members = members_of(name, store, processors)
         self.election = election.Election(
-            cfg, store, calls, registry, self.members
+            cfg,
+            store,
+            calls,
+            registry,
+            self.members,
+            self.config.evacuations.current,
         )
         self.intake = intake.Intake(store, self.election)
+        if evacuated_within_ms is not None:
+            self.config.start()
         self.members.start()
         self.election.start()
 
     def close(self):
+        self.config.close()
         self.members.close()
         self.election.close()
 
@@ -82,6 +101,8 @@
     processors = 1.0
     state_kept_s = 60
     compares_runs = False
+    # None where data centres are not evacuated.
+    evacuated_within_ms = None
 
     def setUp(self):
         super().setUp()
@@ -138,6 +159,7 @@
             self.processors,
             self.state_kept_s,
             self.compares_runs,
+            self.evacuated_within_ms,
         )
         self.addCleanup(self.nodes[name].close)
 
--- a/tests/test_platform/test_unreadable_rows.py
+++ b/tests/test_platform/test_unreadable_rows.py
@@ -119,7 +119,8 @@
 
     def test_unreadable_config_replaces_the_last_good_one(self):
         watch = config_watch.ConfigWatch(
-            config_source.StoreConfigSource(self.store)
+            config_source.StoreConfigSource(self.store, with_evacuations=False),
+            evacuated_within_ms=None,
         )
         self.addCleanup(watch.close)
         watch.start()
