Shards report the work that new jobs would wait for

Cause: a VM that accepts jobs knew a shard's declared work in one number, whatever its priority, and nothing of measured run times, so that nobody could tell how long a new job would wait.

Owners learn run times by queue, image and step from the ends of first runs, in proportion to the declared ones, save them beside what they have learned of interference, and share them. Renewals carry the work of jobs that can be on time by service, priority and size class, less the uncertainty of its run times, and the largest worker of each service.

Not learned: from progress, from runs that were slowed, resumed or in a gang. No decision uses the reports yet.

--- a/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/owner.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/owner.py
@@ -14,6 +14,7 @@
     model,
     ownership,
     step_placement,
+    task_durations,
     worker_table,
 )
 from wisterialug_daemon import logs, metrics
@@ -81,6 +82,7 @@
         self.shard_jobs = job_table.JobTable()
         self.shard_workers = worker_table.WorkerTable()
         self.interference = fill_interference.InterferenceModel()
+        self.durations = task_durations.DurationTable()
         self.calls = calls
         self.lost = False
         self.claim_backoff_s = CLAIM_BACKOFF_S
@@ -183,6 +185,7 @@
         content = loaded.ok_value
         self._feeds.inbox_cursor = content.cursor
         self.interference.factors.restore(content.effects)
+        self.durations.restore(content.effects)
         adopted = 0
         for job in content.inbox.jobs:
             self.shard_jobs.add(job)
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/run_health.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/run_health.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from wisterialug_core.workflow import model
+from wisterialug_core.workflow import model, task_durations
 from wisterialug_daemon import logs
 
 if TYPE_CHECKING:
@@ -64,3 +64,27 @@
             failed_jobs=len(health.failed_jobs),
             until_s=round(health.aside_until_s - now_s, 3),
         )
+
+
+def learn_duration(
+    shard_owner: owner.ShardOwner,
+    session: worker_session.WorkerSession,
+    ended: worker_calls.EndedRun,
+    task: model.Task,
+    report: worker_calls.RunReport,
+) -> None:
+    """Learns from the time of a run that began at the start and was not slowed."""
+    job = shard_owner.shard_jobs.jobs[task.key.job].job
+    step = job.steps[task.key.step]
+    if (
+        ended.end is not model.RunEnd.DONE
+        or step.long_running
+        or step.gang
+        or task.run > 1
+        or not task.orders.confirmed_s
+        or session.pacing.is_throttled(task)
+    ):
+        return
+    ran_s = report.reply.received_s - task.orders.confirmed_s
+    key = task_durations.key_of(job, task.key.step)
+    shard_owner.durations.learn(key, step, ran_s * 1000)
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/shard_recorder.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/shard_recorder.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING
 
 from wisterialug_core.schema import workflow_pb2
-from wisterialug_core.workflow import lending
+from wisterialug_core.workflow import lending, work_ahead
 from wisterialug_daemon import metrics
 from wisterialug_daemon.workflow import clock, errors, records, shard_store
 
@@ -73,8 +73,11 @@
         now_s = clock.now_s()
         if now_s - self._effects_saved_s >= EFFECTS_SAVE_INTERVAL_S:
             self._effects_saved_s = now_s
-            learned = self._owner.interference.factors.to_message().SerializeToString()
-            writes.append((records.effects(self._rows.shard), learned))
+            learned = self._owner.interference.factors.to_message()
+            self._owner.durations.add_to(learned)
+            writes.append(
+                (records.effects(self._rows.shard), learned.SerializeToString())
+            )
         renewal = self._renewal() if renewal_due else None
         removes = self._prunable(shard_store.MAX_ROWS - len(writes))
         return self._rows.change(
@@ -112,6 +115,9 @@
             - self._jobs.waiting_long_running_millicores(now_ms),
             free_slots=spare.free_slots,
             fill_room_millicores=spare.fill_room_millicores,
+            services=work_ahead.service_loads(
+                self._jobs, workers, self._owner.durations, now_s, now_ms
+            ),
         )
 
     def _prunable(self, limit: int) -> list[row_store.RowRef]:
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/shared_effects.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/shared_effects.py
@@ -1,4 +1,4 @@
-"""Reads what other shards have learned of interference."""
+"""Reads what other shards have learned of interference and run times."""
 
 from __future__ import annotations
 
@@ -76,3 +76,4 @@
                 logs.warning("effects-unreadable", shard=shard, error=str(exc))
                 continue
             self._owner.interference.factors.set_other(shard, effects)
+            self._owner.durations.set_other(shard, effects)
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/worker_session.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/worker_session.py
@@ -316,6 +316,7 @@
             self._uncommitted[ended.seq] = task.key.job
             self._owner.shard_jobs.mark_running(task)
             run_health.record_end(self.worker, ended, task, report)
+            run_health.learn_duration(self._owner, self, ended, task, report)
             self._owner.end_run(
                 task, ended.end, ended.checkpoint, run_proofs.Proof.REPORTED
             )
