Jobs that can't be of use any more are refused, with a time to return

Cause: every job was accepted unless the store was away, however much work waited, and Retry-After was two seconds for all callers at once.

The refusal is written into the row of the id, so that an earlier attempt that is carried out late finds another version and does nothing. In an outage the time follows its length.

--- a/packages/wisterialug-daemon/src/wisterialug_daemon/metrics.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/metrics.py
@@ -100,6 +100,9 @@
 SUBMIT_SECONDS = _histogram(
     "submit_seconds", "Answers to jobs handed in, by outcome.", ("outcome",)
 )
+JOB_DECISIONS = _counter(
+    "job_decisions", "Decisions on jobs handed in, by verdict.", ("verdict",)
+)
 FIRST_START_SECONDS = _histogram(
     "first_start_seconds", "From a job's acceptance to its first start."
 )
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/election.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/election.py
@@ -38,22 +38,18 @@
 OWNER_TIMEOUT_S = 1.7
 # Random claim delay, as VMs that see different owners may rank alike.
 MAX_JITTER_S = 0.04
-# Claim delay of a VM with one processor that knows no other VM yet; stronger
-# VMs claim earlier.
+# Of a VM with one processor that knows no other yet; stronger ones claim earlier.
 UNRANKED_DELAY_S = 0.25
 UNRANKED_JITTER_S = 0.15
 CHECK_INTERVAL_S = 0.05
-# Each VM reads the renewals of all shards; the pause batches them. Jobs are sent
-# to shards by these loads.
+# Batches the renewals of all shards; jobs are sent to shards by these loads.
 WATCH_SPACING_S = 0.35
 WATCH_WAIT_S = 1.0
 RETRY_S = 0.3
 COMMIT_TIMEOUT_S = 1.0
-# A shard that was released for another VM is claimed again after this time:
-# the others may all be down.
+# A released shard is claimed again after this time: other VMs may be down.
 BALANCE_BACKOFF_S = 1.5
-# Between two checks whether this VM owns too much; doubled by each release,
-# as it may not have found another owner.
+# Between two checks whether this VM owns too much; doubled by each release.
 FIRST_BALANCE_INTERVAL_S = 2.0
 # Shards change owners no more often for balance; each change costs some 0.3 s.
 MIN_HELD_S = 3.0
@@ -76,7 +72,11 @@
 
 
 class Election:
-    """Watches the owners of all shards; runs those that it claims."""
+    """Watches the owners of all shards; runs those that it claims.
+
+    Attributes:
+      seen_version: Latest version of the store that is known.
+    """
 
     def __init__(
         self,
@@ -92,6 +92,7 @@
         self._registry = registry
         self._vms = vms
         self._keeper = layout_keeper.LayoutKeeper(store, vms)
+        self.seen_version = 0
         self._shards: dict[str, _Shard] = {}
         self._add_shards()
         self._owned: dict[str, owner.ShardOwner] = {}
@@ -160,6 +161,7 @@
                 eventlet.sleep(RETRY_S)
                 continue
             rows, cursor = outcome.ok_value
+            self.seen_version = max(self.seen_version, cursor)
             if not self._reachable_since_s:
                 self._reachable_since_s = clock.now_s()
             for row in rows:
@@ -338,8 +340,7 @@
             COMMIT_TIMEOUT_S,
         )
         if outcome.is_err():
-            # The watch shows whether the claim took effect; if it did, it is
-            # not renewed and expires like any other.
+            # If it took effect, it is not renewed and expires like any other.
             logs.event(
                 "shard-not-taken", shard=name, error=str(outcome.err_value)
             )
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/intake.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/intake.py
@@ -11,21 +11,34 @@
 from google.protobuf import message
 
 from wisterialug_core.schema import workflow_pb2
-from wisterialug_core.workflow import layouts
+from wisterialug_core.workflow import (
+    job_admission,
+    layouts,
+    return_times,
+)
 from wisterialug_daemon import logs, metrics
-from wisterialug_daemon.workflow import clock, errors, records, row_store
+from wisterialug_daemon.workflow import (
+    admission_control,
+    clock,
+    errors,
+    records,
+    refusal_rows,
+    row_store,
+    store_writer,
+    submission,
+)
 
 if TYPE_CHECKING:
+    import result
+
     from wisterialug_core.workflow import routes
-    from wisterialug_daemon.workflow import election
+    from wisterialug_daemon.workflow import election, members
 
 STORE_TIMEOUT_S = 1.0
 FIRST_RETRY_S = 0.03
 MAX_RETRY_S = 0.3
 # Part of the caller's timeout kept for returning the response.
 RESPONSE_MARGIN_S = 0.15
-# A caller is refused after the store has refused its call for this long.
-REFUSE_AFTER_S = 0.3
 OUTAGE_RETRY_AFTER_S = 2
 # After a longer outage of the store, jobs are refused without calling it.
 STORE_OUTAGE_S = 0.6
@@ -95,9 +108,12 @@
         self,
         store: row_store.RowStore,
         owners: election.Election,
+        vms: members.Members,
     ) -> None:
         self._store = store
         self._owners = owners
+        self._admission = admission_control.AdmissionControl(owners, vms)
+        self._refusals = refusal_rows.RefusalRows(store)
         self._rng = random.Random()
         self._added: dict[str, _AddedLoad] = {}
         # Shards by job id, the oldest entry first.
@@ -116,42 +132,83 @@
         job.route = route.name
         job.policy.CopyFrom(route.policy)
         job.accepted_ms = clock.wall_ms()
-        job.shard = self._choose_shard(job)
-        place = workflow_pb2.Job(id=job.id, shard=job.shard)
-        transaction = row_store.Transaction(
-            conditions=((records.accepted(job.id), 0),),
-            writes=(
-                (records.accepted(job.id), place.SerializeToString()),
-                (records.job(job.id, job.shard), job.SerializeToString()),
-            ),
-        )
         begun_s = clock.now_s()
-        if self._store.outage_s() > STORE_OUTAGE_S:
+        attempt = submission.Submission(
+            self._store,
+            self._owners,
+            self._admission,
+            self._refusals,
+            job,
+            self._choose_shard,
+        )
+        outage_s = self._store.outage_s()
+        if outage_s > STORE_OUTAGE_S:
             # Nothing is sent, so the job certainly will not run.
-            response = Response(
-                Outcome.REFUSED,
-                retry_after_s=OUTAGE_RETRY_AFTER_S,
-                detail="the store is away",
-            )
+            response = self._refuse_in_outage(job, "the store is away")
         else:
-            response = self._write(
-                transaction, timeout_s * SUBMIT_SHARE, existing_is_ok=True
-            )
+            until_s = begun_s + timeout_s * SUBMIT_SHARE - RESPONSE_MARGIN_S
+            response = self._response_to(job, attempt.run(until_s))
         if response.outcome is Outcome.OK and not response.detail:
             self._cache_shard(job.id, job.shard)
         metrics.SUBMIT_SECONDS.labels(response.outcome.value).observe(
             clock.now_s() - begun_s
         )
+        self._log_submission(job, response, attempt.decision)
+        return response
+
+    def _response_to(
+        self,
+        job: workflow_pb2.Job,
+        outcome: result.Result[str, submission.SubmissionError],
+    ) -> Response:
+        if outcome.is_ok():
+            return Response(Outcome.OK, detail=outcome.ok_value)
+        exc = outcome.err_value
+        if isinstance(exc, submission.OutcomeUnknownError):
+            return Response(Outcome.UNKNOWN, detail=exc.reason)
+        if isinstance(exc, submission.StoreAwayError):
+            return self._refuse_in_outage(job, exc.reason)
+        return Response(
+            Outcome.REFUSED,
+            retry_after_s=exc.retry_after_s,
+            detail=exc.reason,
+        )
+
+    def _refuse_in_outage(self, job: workflow_pb2.Job, reason: str) -> Response:
+        return Response(
+            Outcome.REFUSED,
+            retry_after_s=return_times.after_outage(
+                job.id, self._store.outage_s(), job_admission.useful_s(job)
+            ),
+            detail=reason,
+        )
+
+    def _log_submission(
+        self,
+        job: workflow_pb2.Job,
+        response: Response,
+        decision: job_admission.Decision | None,
+    ) -> None:
+        fields = {}
+        if decision is not None:
+            metrics.JOB_DECISIONS.labels(decision.verdict.value).inc()
+            fields = {
+                "decision": decision.verdict.value,
+                "wait_s": round(decision.wait_s, 2),
+                "report_age_s": round(self._admission.report_age_s(), 2),
+            }
+        if response.retry_after_s:
+            fields["retry_after_s"] = response.retry_after_s
         logs.event(
             "job-submitted",
             job=job.id,
-            route=route.name,
+            route=job.route,
             shard=job.shard,
             outcome=response.outcome.value,
             steps=len(job.steps),
             detail=response.detail,
+            **fields,
         )
-        return response
 
     def _choose_shard(self, job: workflow_pb2.Job) -> str:
         layout = self._owners.layout
@@ -213,10 +270,15 @@
             logs.event("job-unknown", job=job_id, version=accepted.version)
             return Response(Outcome.NO_JOB)
         try:
-            shard = workflow_pb2.Job.FromString(accepted.rows[0].value).shard
+            shard = workflow_pb2.Admission.FromString(
+                accepted.rows[0].value
+            ).shard
         except message.DecodeError as exc:
             logs.warning("job-unreadable", job=job_id, error=str(exc))
             return self._refuse_unread(job_id)
+        if not shard:
+            logs.event("job-not-accepted", job=job_id)
+            return Response(Outcome.NO_JOB)
         self._cache_shard(job_id, shard)
         return shard
 
@@ -243,13 +305,14 @@
         if isinstance(shard, Response):
             return shard
         ref = records.cancel(job_id, shard)
-        response = self._write(
+        written = store_writer.write(
+            self._store,
             row_store.Transaction(
                 conditions=((ref, 0),), writes=((ref, b"1"),)
             ),
-            until_s - clock.now_s() + RESPONSE_MARGIN_S,
-            existing_is_ok=True,
+            until_s,
         )
+        response = _cancel_response(written)
         logs.event("job-cancel", job=job_id, outcome=response.outcome.value)
         return response
 
@@ -293,44 +356,19 @@
             eventlet.sleep(pause_s)
             pause_s = min(MAX_RETRY_S, pause_s * 2)
 
-    def _write(
-        self,
-        transaction: row_store.Transaction,
-        timeout_s: float,
-        *,
-        existing_is_ok: bool,
-    ) -> Response:
-        begun_s = clock.now_s()
-        until_s = begun_s + timeout_s - RESPONSE_MARGIN_S
-        pause_s = FIRST_RETRY_S
-        unknown = False
-        while True:
-            left_s = until_s - clock.now_s()
-            if left_s <= 0:
-                break
-            outcome = self._store.commit(
-                transaction, min(STORE_TIMEOUT_S, left_s)
-            )
-            if outcome.is_ok():
-                return Response(Outcome.OK)
-            exc = outcome.err_value
-            if isinstance(exc, errors.ConflictError) and existing_is_ok:
-                return Response(Outcome.OK, detail="already recorded")
-            if isinstance(exc, errors.StoreUnknownError):
-                unknown = True
-            elif (
-                not unknown
-                and clock.now_s() - begun_s + pause_s > REFUSE_AFTER_S
-            ):
-                return Response(
-                    Outcome.REFUSED,
-                    retry_after_s=OUTAGE_RETRY_AFTER_S,
-                    detail=str(exc),
-                )
-            eventlet.sleep(max(0.0, min(pause_s, until_s - clock.now_s())))
-            pause_s = min(MAX_RETRY_S, pause_s * 2)
-        if unknown:
-            return Response(
-                Outcome.UNKNOWN, detail="no response from the store"
-            )
-        return Response(Outcome.REFUSED, retry_after_s=OUTAGE_RETRY_AFTER_S)
+
+def _cancel_response(
+    written: result.Result[int, errors.StoreError],
+) -> Response:
+    if written.is_ok():
+        return Response(Outcome.OK)
+    exc = written.err_value
+    if isinstance(exc, errors.ConflictError):
+        return Response(Outcome.OK, detail=submission.ALREADY_RECORDED)
+    if isinstance(exc, errors.StoreUnknownError):
+        return Response(Outcome.UNKNOWN, detail="no response from the store")
+    return Response(
+        Outcome.REFUSED,
+        retry_after_s=OUTAGE_RETRY_AFTER_S,
+        detail=str(exc),
+    )
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/members.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/members.py
@@ -48,6 +48,13 @@
             if name != self._node
         ]
 
+    def count_nearby(self) -> int:
+        """Returns how many VMs its data centre has, this one included."""
+        return sum(
+            member.data_centre == self._own.data_centre
+            for member in self.by_name.values()
+        )
+
     def start(self) -> None:
         """Registers this VM and follows the others."""
         self._greenlets.supervise(self._run)
--- a/packages/wisterialug-standins/src/wisterialug_standins/memory_store.py
+++ b/packages/wisterialug-standins/src/wisterialug_standins/memory_store.py
@@ -47,6 +47,10 @@
         row = self._rows.get(ref)
         return row[1] if row else None
 
+    def version(self) -> int:
+        """Returns the version of the latest change."""
+        return self._version
+
     def refs(self) -> list[row_store.RowRef]:
         """Returns the references of all rows."""
         return list(self._rows)
--- a/packages/wisterialug-standins/src/wisterialug_standins/workflow_demo.py
+++ b/packages/wisterialug-standins/src/wisterialug_standins/workflow_demo.py
@@ -66,10 +66,9 @@
         own = workflow_pb2.Member(
             ip=name, port=1, millicores=1000, link_kbps=10**6
         )
-        self.election = election.Election(
-            cfg, store, fleet, fleet, members.Members(name, own, store)
-        )
-        self.intake = intake.Intake(store, self.election)
+        vms = members.Members(name, own, store)
+        self.election = election.Election(cfg, store, fleet, fleet, vms)
+        self.intake = intake.Intake(store, self.election, vms)
         self.election.start()
 
 
--- a/tests/test_daemon/test_workflow_intake.py
+++ b/tests/test_daemon/test_workflow_intake.py
@@ -14,6 +14,7 @@
     errors,
     intake,
     settings,
+    store_writer,
 )
 from wisterialug_standins import memory_store
 
@@ -52,14 +53,9 @@
             state_kept_s=60,
             stop_within_s=5,
         )
-        owners = election.Election(
-            cfg,
-            self.store,
-            None,
-            None,
-            workflow_base.members_of("n", self.store),
-        )
-        self.intake = intake.Intake(self.store, owners)
+        vms = workflow_base.members_of("n", self.store)
+        owners = election.Election(cfg, self.store, None, None, vms)
+        self.intake = intake.Intake(self.store, owners, vms)
 
     def submit(self, timeout_s=3.0):
         job = workflow_pb2.Job(id="0" * 16, steps=[step(1)])
@@ -81,7 +77,7 @@
         self.store.reply = result.Err(errors.StoreRefusedError("503"))
         response, took_s = self.submit()
         self.assertIs(Outcome.REFUSED, response.outcome)
-        self.assertLess(took_s, 2 * intake.REFUSE_AFTER_S)
+        self.assertLess(took_s, 2 * store_writer.REFUSE_AFTER_S)
 
     def test_unknown_outcome_is_never_reported_as_refused(self):
         replies = [
--- a/tests/test_daemon/workflow_base.py
+++ b/tests/test_daemon/workflow_base.py
@@ -54,7 +54,7 @@
         self.election = election.Election(
             cfg, store, calls, registry, self.members
         )
-        self.intake = intake.Intake(store, self.election)
+        self.intake = intake.Intake(store, self.election, self.members)
         self.members.start()
         self.election.start()
 
