Times to return after an outage are spread for all calls

Cause: questions for a job's state and cancellations that the store did not execute were all told to return after two seconds, together.

They get the times of refused jobs, by the length of the outage and spread by the id.

--- a/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/intake.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/intake.py
@@ -4,6 +4,7 @@
 
 import dataclasses
 import enum
+import math
 import random
 from typing import TYPE_CHECKING
 
@@ -39,7 +40,6 @@
 MAX_RETRY_S = 0.3
 # Part of the caller's timeout kept for returning the response.
 RESPONSE_MARGIN_S = 0.15
-OUTAGE_RETRY_AFTER_S = 2
 # After a longer outage of the store, jobs are refused without calling it.
 STORE_OUTAGE_S = 0.6
 # Share of the caller's timeout spent on the store; in the rest, the caller can
@@ -53,6 +53,8 @@
 MAX_COUNT_AGE_S = 1.5
 # An owner silent for this long may have failed; other shards get new jobs.
 OWNER_SUSPECT_S = 1.2
+# Jobs that are always of use have a spare time without end.
+MAX_LOGGED_S = 3600.0
 # Jobs whose shard is cached; callers mostly ask the VM that accepted the job.
 MAX_CACHED_SHARDS = 20_000
 
@@ -146,7 +148,9 @@
         outage_s = self._store.outage_s()
         if outage_s > STORE_OUTAGE_S and not self._admission.hears_store():
             # Nothing is sent, so the job certainly will not run.
-            response = self._refuse_in_outage(job, "the store is away")
+            response = self._refuse_in_outage(
+                job.id, "the store is away", job_admission.useful_s(job)
+            )
         else:
             answered_s = begun_s - RESPONSE_MARGIN_S
             outcome = attempt.run(
@@ -173,18 +177,29 @@
         if isinstance(exc, submission.OutcomeUnknownError):
             return Response(Outcome.UNKNOWN, detail=exc.reason)
         if isinstance(exc, submission.StoreAwayError):
-            return self._refuse_in_outage(job, exc.reason)
+            return self._refuse_in_outage(
+                job.id, exc.reason, job_admission.useful_s(job)
+            )
         return Response(
             Outcome.REFUSED,
             retry_after_s=exc.retry_after_s,
             detail=exc.reason,
         )
 
-    def _refuse_in_outage(self, job: workflow_pb2.Job, reason: str) -> Response:
+    def _refuse_in_outage(
+        self, job_id: str, reason: str, useful_s: float = math.inf
+    ) -> Response:
+        """Refuses a call that the store has not executed.
+
+        Args:
+          job_id: The job that is submitted or asked for.
+          reason: Text for the caller.
+          useful_s: Time after which a return is of no use.
+        """
         return Response(
             Outcome.REFUSED,
             retry_after_s=return_times.after_outage(
-                job.id, self._store.outage_s(), job_admission.useful_s(job)
+                job_id, self._store.outage_s(), useful_s
             ),
             detail=reason,
         )
@@ -201,6 +216,7 @@
             fields = {
                 "decision": decision.verdict.value,
                 "wait_s": round(decision.wait_s, 2),
+                "spare_s": round(min(decision.spare_s, MAX_LOGGED_S), 2),
                 "report_age_s": round(self._admission.report_age_s(), 2),
             }
         if response.retry_after_s:
@@ -318,10 +334,24 @@
             ),
             until_s,
         )
-        response = _cancel_response(written)
+        response = self._cancel_response(job_id, written)
         logs.event("job-cancel", job=job_id, outcome=response.outcome.value)
         return response
 
+    def _cancel_response(
+        self, job_id: str, written: result.Result[int, errors.StoreError]
+    ) -> Response:
+        if written.is_ok():
+            return Response(Outcome.OK)
+        exc = written.err_value
+        if isinstance(exc, errors.ConflictError):
+            return Response(Outcome.OK, detail=submission.ALREADY_RECORDED)
+        if isinstance(exc, errors.StoreUnknownError):
+            return Response(
+                Outcome.UNKNOWN, detail="no response from the store"
+            )
+        return self._refuse_in_outage(job_id, str(exc))
+
     def waiting(self, route: routes.Route) -> Response:
         """Returns how many jobs of a queue wait for their first start."""
         total = 0
@@ -339,11 +369,7 @@
 
     def _refuse_unread(self, job_id: str) -> Response:
         logs.event("job-not-read", job=job_id)
-        return Response(
-            Outcome.REFUSED,
-            retry_after_s=OUTAGE_RETRY_AFTER_S,
-            detail="the store does not answer",
-        )
+        return self._refuse_in_outage(job_id, "the store does not answer")
 
     def _read(
         self, ref: row_store.RowRef, until_s: float
@@ -361,20 +387,3 @@
                 return outcome.ok_value
             eventlet.sleep(pause_s)
             pause_s = min(MAX_RETRY_S, pause_s * 2)
-
-
-def _cancel_response(
-    written: result.Result[int, errors.StoreError],
-) -> Response:
-    if written.is_ok():
-        return Response(Outcome.OK)
-    exc = written.err_value
-    if isinstance(exc, errors.ConflictError):
-        return Response(Outcome.OK, detail=submission.ALREADY_RECORDED)
-    if isinstance(exc, errors.StoreUnknownError):
-        return Response(Outcome.UNKNOWN, detail="no response from the store")
-    return Response(
-        Outcome.REFUSED,
-        retry_after_s=OUTAGE_RETRY_AFTER_S,
-        detail=str(exc),
-    )
