--- a/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/owner.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/owner.py
@@ -14,6 +14,7 @@
     ownership,
     placement_wait,
     step_placement,
+    task_durations,
     worker_table,
 )
 from wisterialug_daemon import logs, metrics
@@ -87,6 +88,7 @@
         self.shard_workers = worker_table.WorkerTable()
         self.waits = placement_wait.Waits(cfg.remote_slowdown)
         self.interference = fill_interference.InterferenceModel()
+        self.durations = task_durations.DurationTable()
         self.calls = calls
         self.lost = False
         self.claim_backoff_s = CLAIM_BACKOFF_S
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/shard_contents.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/shard_contents.py
@@ -46,6 +46,7 @@
         content = loaded.ok_value
         self._feeds.inbox_cursor = content.cursor
         self._owner.interference.factors.restore(content.effects)
+        self._owner.durations.restore(content.effects)
         adopted = 0
         for job in content.inbox.jobs:
             self._jobs.add(job)
--- a/tests/test_daemon/workflow_base.py
+++ b/tests/test_daemon/workflow_base.py
@@ -72,7 +72,7 @@
             self.members,
             self.config.evacuations.current,
         )
-        self.intake = intake.Intake(store, self.election)
+        self.intake = intake.Intake(store, self.election, self.members)
         if evacuated_within_ms is not None:
             self.config.start()
         self.members.start()
