A stray run is stopped until its worker no longer lists it

Cause: a start that a worker carries out seconds late, on its next incarnation under the same name, is found by the first report there and was stopped once. If that stop got lost, nobody asked the worker again, and the run of a cancelled job went on until its lease, which by the clock of the new incarnation may be as long as the platform allows.

Change: StrayRuns (core) keeps the stray runs of the latest report; the worker is asked while there are any, and each one that is listed without a stop under way is stopped again. The other late starts of cancelled jobs are covered by what was there: the task is active, the stop is sent again until it is answered, and a new owner asks all workers.

--- a/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/worker_session.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/worker_session.py
@@ -8,7 +8,7 @@
 import eventlet
 import eventlet.event
 
-from wisterialug_core.workflow import model, run_proofs
+from wisterialug_core.workflow import model, run_proofs, stray_runs
 from wisterialug_daemon import logs
 from wisterialug_daemon.workflow import (
     clock,
@@ -66,6 +66,7 @@
         self._acked_seq = 0
         self._all_committed = eventlet.event.Event()
         self.pacing = fill_pacing.FillPacing(owner, worker)
+        self._strays = stray_runs.StrayRuns()
 
     @property
     def idle(self) -> bool:
@@ -127,7 +128,7 @@
         return not worker.gone and bool(
             worker.runs
             or self._uncommitted
-            or (unacked and not dead)
+            or ((unacked or self._strays.listed) and not dead)
             or ((not worker.fenced or worker.silent_since_s) and not absent)
         )
 
@@ -162,14 +163,19 @@
         if (
             worker.fenced
             and not self._uncommitted
-            and worker.runs
+            and (worker.runs or self._strays.listed)
             and not worker.silent_since_s
             and not self._awaits_absence()
         ):
             draining = worker.report.state is model.WorkerState.DRAINING
             wait_ms = LONG_POLL_MS
             suspected = self._owner.shard_jobs.suspects.keys() & worker.runs
-            if draining or suspected or self.pacing.may_interfere():
+            if (
+                draining
+                or suspected
+                or self._strays.listed
+                or self.pacing.may_interfere()
+            ):
                 wait_ms = SHORT_POLL_MS
         acked_seq = self._durable_seq() if self._has_just_answered() else 0
         clock_ms = worker.lease.clock_ms
@@ -266,10 +272,11 @@
         self.pacing.adjust(report)
 
     def _update_running(self, report: worker_calls.RunReport) -> None:
+        strays = []
         for run in report.running:
             task = self._owner.active_run(self.worker, run.task, run.run)
             if task is None:
-                self._owner.greenlets.spawn(self._stop_stray, run.task, run.run)
+                strays.append(stray_runs.ListedRun(run.task, run.run))
                 continue
             task.orders.confirm(report.reply.received_s)
             self._note_survival(task, report.reply.received_s)
@@ -281,6 +288,8 @@
                 self._owner.shard_jobs.mark_running(task)
                 self._owner.wake()
             run_health.check_progress(self._owner, self, task, run, report)
+        for stray in self._strays.record(strays):
+            self._owner.greenlets.spawn(self._stop_stray, stray)
 
     def _note_survival(self, task: model.Task, now_s: float) -> None:
         was_suspect = task.crash_evidence.suspect
@@ -289,20 +298,23 @@
             # Its worker takes other runs again.
             self._owner.wake()
 
-    def _stop_stray(self, name: str, run: int) -> None:
+    def _stop_stray(self, stray: stray_runs.ListedRun) -> None:
+        """Stops a stray run; one that is listed after that is stopped again."""
         logs.event(
             "stray-stop-ordered",
-            task=name,
-            run=run,
+            task=stray.task,
+            run=stray.run,
             worker=self.worker.report.id,
         )
-        self._owner.calls.stop(
-            self.worker.report,
-            name,
-            run,
-            self._owner.epoch_for(self.worker),
-            RESPONSE_TIMEOUT_S,
-        )
+        try:
+            self._owner.calls.stop(
+                self.worker.report,
+                *stray,
+                self._owner.epoch_for(self.worker),
+                RESPONSE_TIMEOUT_S,
+            )
+        finally:
+            self._strays.end_stop(stray)
 
     def _process_ends(self, report: worker_calls.RunReport) -> None:
         for ended in report.ended:
