An end waits for its acknowledgement while its start may arrive again

Cause: a start without an answer is sent twice. Where the first copy was late, the second ran, and its end was acknowledged; if the worker restarted under its name then, the first copy ran on the next incarnation before its first poll: run 1 after run 1. Its deadline does not help there, as it is a time of the earlier clock.

Change: EndAcks (core) decides which ends a worker may forget: those that are durable and whose start orders are answered or have expired by the slowest clock, a lease after they were sent. Until then the worker is asked each 0.15 s, since one that lists an end answers at once. An end of an incarnation that is gone is never acknowledged.

Result: test_task_runs_again_on_the_next_incarnation_after_its_end failed before ("ran again after completed run 1") and passes. test_reborn_workers 5 of 5, test_workflow_orders 7 of 7, test_stray_runs 4 of 4, test_worker_sessions 2 of 2.

--- a/packages/wisterialug-core/src/wisterialug_core/workflow/leases.py
+++ b/packages/wisterialug-core/src/wisterialug_core/workflow/leases.py
@@ -22,6 +22,16 @@
     return acquired_s + MAX_UNCONFIRMED_S + lease_s
 
 
+def order_expiry_s(sent_s: float, length_ms: int) -> float:
+    """Returns when a worker has surely passed the deadline of an order.
+
+    Args:
+      sent_s: When the order was sent.
+      length_ms: Length of the lease that was granted with it.
+    """
+    return sent_s + length_ms / 1000 / MIN_CLOCK_RATE
+
+
 @dataclasses.dataclass(slots=True)
 class LeaseView:
     """An owner's view of a worker's clock and lease.
--- a/packages/wisterialug-core/src/wisterialug_core/workflow/run_proofs.py
+++ b/packages/wisterialug-core/src/wisterialug_core/workflow/run_proofs.py
@@ -45,6 +45,8 @@
       confirmed_s: When a response first showed that the worker knows the run.
       stop_acked_s: When the worker acknowledged a stop.
       earlier_epoch: An earlier owner sent the orders.
+      expires_s: When the worker's clock, at its slowest, has passed the deadlines
+        of the sent orders.
     """
 
     open: int = 0
@@ -52,6 +54,7 @@
     confirmed_s: float = 0.0
     stop_acked_s: float = 0.0
     earlier_epoch: bool = False
+    expires_s: float = 0.0
 
     @property
     def unsent(self) -> bool:
@@ -63,10 +66,15 @@
         """Returns whether the next report shows if a stopped run exists."""
         return self.stop_acked_s > 0 and not self.confirmed_s
 
-    def send(self, deadline_ms: int) -> None:
+    def send(self, deadline_ms: int, expires_s: float = 0.0) -> None:
         """Records an order that is about to be sent."""
         self.open += 1
         self.deadline_ms = max(self.deadline_ms, deadline_ms)
+        self.expires_s = max(self.expires_s, expires_s)
+
+    def may_arrive(self, now_s: float) -> bool:
+        """Returns whether an order without an answer may still be accepted."""
+        return self.open > 0 and now_s < self.expires_s
 
     def confirm(self, received_s: float) -> None:
         """Records a response which shows that the worker knows the run."""
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/dispatcher.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/dispatcher.py
@@ -6,7 +6,7 @@
 
 import eventlet
 
-from wisterialug_core.workflow import model, preemption, run_proofs
+from wisterialug_core.workflow import leases, model, preemption, run_proofs
 from wisterialug_daemon import logs
 from wisterialug_daemon.workflow import clock, errors, worker_calls
 
@@ -129,8 +129,9 @@
                 self._abandon(start, "worker takes no new runs")
                 return
             entry = self._owner.shard_jobs.jobs[task.key.job]
+            sent_s = clock.now_s()
             deadline_ms = worker.lease.grant(
-                clock.now_s(),
+                sent_s,
                 self._owner.rows.confirmed_s,
                 self._owner.cfg.lease_ms,
             )
@@ -147,7 +148,10 @@
             )
             self._owner.session(worker)
             orders = task.orders
-            orders.send(deadline_ms)
+            orders.send(
+                deadline_ms,
+                leases.order_expiry_s(sent_s, self._owner.cfg.lease_ms),
+            )
             outcome = self._owner.calls.start(
                 worker.report, order, ORDER_TIMEOUT_S
             )
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/worker_session.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/worker_session.py
@@ -8,7 +8,12 @@
 import eventlet
 import eventlet.event
 
-from wisterialug_core.workflow import model, run_proofs, stray_runs
+from wisterialug_core.workflow import (
+    end_acks,
+    model,
+    run_proofs,
+    stray_runs,
+)
 from wisterialug_daemon import logs
 from wisterialug_daemon.workflow import (
     clock,
@@ -36,6 +41,8 @@
 MAX_SILENCE_S = 1.2
 RETRY_INTERVAL_S = 0.25
 EPOCH_WAIT_S = 0.02
+# Interval of polls while an end is listed that is not acknowledged yet.
+HELD_POLL_S = 0.15
 # Age of the latest report up to which its ends are acknowledged: shorter than a
 # restart takes, longer than a commit is waited for.
 MAX_ACK_DELAY_S = 0.5
@@ -59,19 +66,18 @@
         self._owner = owner
         self.worker = worker
         self._running = False
-        # Jobs of uncommitted run ends, by sequence number.
-        self._uncommitted: dict[int, str] = {}
-        self._in_commit: set[int] = set()
-        self._highest_seq = 0
-        self._acked_seq = 0
+        self._acks = end_acks.EndAcks()
         self._all_committed = eventlet.event.Event()
         self.pacing = fill_pacing.FillPacing(owner, worker)
         self._strays = stray_runs.StrayRuns()
 
     @property
     def idle(self) -> bool:
-        """Returns whether the worker is not polled and all its ends are durable."""
-        return not self._running and not self._uncommitted
+        """Returns whether the worker is not polled and no end of it is open."""
+        open_ends = self._acks.uncommitted or self._acks.awaits_orders(
+            clock.now_s()
+        )
+        return not self._running and not open_ends
 
     def ensure_running(self) -> None:
         """Starts the session if the worker needs one."""
@@ -102,32 +108,22 @@
 
     def begin_commit(self, jobs: Iterable[str]) -> None:
         """Notes that the changes of these jobs are being committed."""
-        if self._uncommitted:
-            committing = set(jobs)
-            self._in_commit = {
-                seq
-                for seq, job in self._uncommitted.items()
-                if job in committing or job not in self._owner.shard_jobs.dirty
-            }
+        if self._acks.uncommitted:
+            self._acks.begin_commit(set(jobs), self._owner.shard_jobs.dirty)
 
     def finish_commit(self) -> None:
         """Notes that the commit begun before is durable."""
-        if not self._in_commit:
-            return
-        for seq in self._in_commit:
-            self._uncommitted.pop(seq, None)
-        self._in_commit = set()
-        if not self._uncommitted and not self._all_committed.ready():
+        if self._acks.finish_commit() and not self._all_committed.ready():
             self._all_committed.send()
 
     def _needed(self) -> bool:
         worker = self.worker
         absent = worker.report.state is model.WorkerState.ABSENT
         dead = absent and self._silent_s() > self._owner.cfg.lease_ms / 1000
-        unacked = self._acked_seq < self._highest_seq
+        unacked = self._acks.acked_seq < self._acks.highest_seq
         return not worker.gone and bool(
             worker.runs
-            or self._uncommitted
+            or self._acks.uncommitted
             or ((unacked or self._strays.listed) and not dead)
             or ((not worker.fenced or worker.silent_since_s) and not absent)
         )
@@ -155,14 +151,19 @@
             lost_worker.check_expiry(self._owner, worker)
             eventlet.sleep(RETRY_INTERVAL_S)
             return
-        if self._uncommitted:
+        if self._acks.uncommitted:
             with eventlet.Timeout(COMMIT_WAIT_S, False):
                 self._all_committed.wait()
+        held = self._acks.awaits_orders(clock.now_s())
+        if held:
+            # A worker that lists an end answers at once.
+            eventlet.sleep(HELD_POLL_S)
         self._all_committed = eventlet.event.Event()
         wait_ms = 0
         if (
             worker.fenced
-            and not self._uncommitted
+            and not self._acks.uncommitted
+            and not held
             and (worker.runs or self._strays.listed)
             and not worker.silent_since_s
             and not self._awaits_absence()
@@ -177,7 +178,9 @@
                 or self.pacing.may_interfere()
             ):
                 wait_ms = SHORT_POLL_MS
-        acked_seq = self._durable_seq() if self._has_just_answered() else 0
+        acked_seq = 0
+        if self._has_just_answered():
+            acked_seq = self._acks.next_seq(clock.now_s())
         clock_ms = worker.lease.clock_ms
         sent_s = clock.now_s()
         epoch = self._owner.epoch_for(worker)
@@ -192,7 +195,7 @@
         if self._owner.lost or worker.gone or epoch < worker.least_epoch:
             return
         if outcome.is_ok():
-            self._acked_seq = max(self._acked_seq, acked_seq)
+            self._acks.acked_seq = max(self._acks.acked_seq, acked_seq)
             self._handle_report(outcome.ok_value, clock_ms)
         else:
             self._handle_error(outcome.err_value, sent_s)
@@ -214,12 +217,6 @@
         tasks = map(self._owner.shard_jobs.task, self.worker.runs)
         return any(t is not None and t.orders.awaits_absence for t in tasks)
 
-    def _durable_seq(self) -> int:
-        """Returns the sequence number up to which all ends are durable."""
-        if self._uncommitted:
-            return min(self._uncommitted) - 1
-        return self._highest_seq
-
     def _deadline_ms(self, now_s: float) -> int | None:
         worker = self.worker
         if (
@@ -318,14 +315,14 @@
 
     def _process_ends(self, report: worker_calls.RunReport) -> None:
         for ended in report.ended:
-            if ended.seq <= self._highest_seq:
+            if ended.seq <= self._acks.highest_seq:
                 continue
-            self._highest_seq = ended.seq
+            self._acks.highest_seq = ended.seq
             task = self._owner.active_run(self.worker, ended.task, ended.run)
             if task is None:
                 self._process_late_end(ended)
                 continue
-            self._uncommitted[ended.seq] = task.key.job
+            self._acks.add(ended.seq, task.key.job, task.orders)
             self._owner.shard_jobs.mark_running(task)
             run_health.record_end(self.worker, ended, task, report)
             self._owner.end_run(
@@ -341,7 +338,7 @@
         jobs = self._owner.shard_jobs
         if not jobs.complete_given_up(task, ended.run, clock.wall_ms()):
             return
-        self._uncommitted[ended.seq] = task.key.job
+        self._acks.add(ended.seq, task.key.job, task.orders)
         logs.event(
             "late-end-accepted",
             task=ended.task,
