--- a/tests/test_platform/test_workers.py
+++ b/tests/test_platform/test_workers.py
@@ -76,6 +76,14 @@
         expected = model.incarnation("w", self.BORN_MS + 1)
         self.assertEqual(errors.OtherLifeError(expected), exc)
 
+    def test_long_checkpoint_hides_the_report(self):
+        running = [["t.0.0.0", 1, "c" * 4000, 5, 0]]
+        fields = {"clock_ms": 5, "running": running, "finished": []}
+        outcome = workers.HttpWorkerCalls(AnsweringClient(**fields)).poll(
+            WORKER, 1, 0, None, 0, TIMEOUT_S
+        )
+        self.assertEqual(4000, len(outcome.ok_value.running[0].checkpoint))
+
     def test_unreadable_birth_is_no_answer(self):
         exc = self.poll(born="today").err_value
         self.assertIsInstance(exc, errors.NoAnswerError)
