Fill runs get room by what they mean to their jobs

Cause: the room that serving tasks leave on a worker went to the least harmful runs first, whatever their job.

Change: room goes by value for the room that a run takes up. The value is that of the job by its slack, divided by the work left of the run and by the tasks left of its step (fill_claims.py, fill_paces.py). Runs that disturb nothing keep full pace. The line fill-pace says the urgency of the job and how many tasks its step still waits for.

--- a/packages/wisterialug-core/src/wisterialug_core/workflow/fill_interference.py
+++ b/packages/wisterialug-core/src/wisterialug_core/workflow/fill_interference.py
@@ -16,7 +16,11 @@
 import enum
 from typing import TYPE_CHECKING, NamedTuple
 
-from wisterialug_core.workflow import fill_samples, interference_factors
+from wisterialug_core.workflow import (
+    fill_paces,
+    fill_samples,
+    interference_factors,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Mapping
@@ -257,27 +261,23 @@
             image: PACE_LIMIT * target - samples.loads.get(image, PRIOR_LOAD)
             for image, target in samples.targets.items()
         }
-        paces: dict[str, int] = {}
-        order = sorted(
-            fills,
-            key=lambda name: self._worst_factor(samples, fills[name]),
-        )
-        for name in order:
-            fill = fills[name]
-            part = 1.0
-            costs = {
-                image: samples.loads.get(image, PRIOR_LOAD)
-                * self._planned_factor(image, fill.image)
-                * fill.share
-                for image in room
-            }
-            for image, cost in costs.items():
-                if cost > 0:
-                    part = min(part, max(0.0, room[image]) / cost)
-            for image, cost in costs.items():
-                room[image] -= part * cost
-            paces[name] = int(part * fill_samples.FULL_PERCENT)
-        return paces
+        demands = {
+            name: fill_paces.Demand(self._costs(samples, fill), fill.value)
+            for name, fill in fills.items()
+        }
+        return fill_paces.divide(room, demands)
+
+    def _costs(
+        self, samples: fill_samples.WorkerSamples, fill: fill_samples.FillRun
+    ) -> dict[str, float]:
+        """Returns the utilisation that a run adds at full pace, by image."""
+        costs = {
+            image: samples.loads.get(image, PRIOR_LOAD)
+            * self._planned_factor(image, fill.image)
+            * fill.share
+            for image in samples.targets
+        }
+        return {image: cost for image, cost in costs.items() if cost > 0}
 
     def _worst_factor(
         self, samples: fill_samples.WorkerSamples, fill: fill_samples.FillRun
--- a/packages/wisterialug-core/src/wisterialug_core/workflow/fill_samples.py
+++ b/packages/wisterialug-core/src/wisterialug_core/workflow/fill_samples.py
@@ -3,7 +3,10 @@
 from __future__ import annotations
 
 import dataclasses
-from typing import NamedTuple
+from typing import TYPE_CHECKING, NamedTuple
+
+if TYPE_CHECKING:
+    from wisterialug_core.workflow import fill_claims
 
 FULL_PERCENT = 100
 # A run at this pace or below would do better on another worker.
@@ -27,6 +30,7 @@
       used: Part that it used in the latest sample.
       percent: Pace that was ordered last.
       slow_since_s: Since when it is throttled; 0 if it is not.
+      claim: What its progress means to its job; None if that is not known.
     """
 
     image: str
@@ -34,6 +38,12 @@
     used: float = 0.0
     percent: int = FULL_PERCENT
     slow_since_s: float = 0.0
+    claim: fill_claims.Claim | None = None
+
+    @property
+    def value(self) -> float:
+        """Returns what its progress is worth to its job, per second."""
+        return self.claim.value if self.claim else 1.0
 
     def set_pace(self, percent: int, now_s: float) -> None:
         """Records the pace that is ordered."""
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/fill_pacing.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/fill_pacing.py
@@ -6,7 +6,12 @@
 
 import eventlet
 
-from wisterialug_core.workflow import fill_interference, fill_samples, model
+from wisterialug_core.workflow import (
+    fill_claims,
+    fill_interference,
+    fill_samples,
+    model,
+)
 from wisterialug_daemon import logs
 from wisterialug_daemon.workflow import clock
 
@@ -58,6 +63,7 @@
                     step.image, self.worker.cpu_share(step)
                 )
                 fill.used = run.measurement / capacity
+                fill.claim = self._claim(task)
                 fills[task.name] = fill
                 runs[task.name] = task
             elif step.target_ms and run.progress >= STARTED_PERCENT:
@@ -81,6 +87,7 @@
         if not step.fills:
             return
         fill = fill_samples.FillRun(step.image, self.worker.cpu_share(step))
+        fill.claim = self._claim(task)
         self._fills[task.name] = fill
         interference = self._owner.interference
         percent = interference.initial_pace(
@@ -90,6 +97,10 @@
             fill.set_pace(percent, clock.now_s())
             self._owner.greenlets.spawn(self._send_pace, task, task.run, fill)
 
+    def _claim(self, task: model.Task) -> fill_claims.Claim:
+        entry = self._owner.shard_jobs.jobs[task.key.job]
+        return fill_claims.claim(entry, task, clock.wall_ms())
+
     def _apply(
         self,
         task: model.Task,
@@ -113,6 +124,8 @@
             task=task.name,
             image=fill.image,
             percent=percent,
+            urgency=fill.claim.urgency.name.lower(),
+            tasks_left=fill.claim.tasks_left,
         )
         while not self._owner.lost and fill.percent == percent:
             if task.run != run or task.worker != self.worker.report.id:
