Held fill runs move sooner and start where they stay at pace

Cause: a held run waited for 1 s of throttling before it was moved, however few runs its step waited for, and often went to a worker that held it again within half a second: the latest sample did not count, an alarm there did not count, and all places that hold a run at full pace just now were equal though the serving load swings by half.

A worker that has just paused its runs takes none that may interfere; others come by the room that they have for the run, up to twice what it takes up. The line fill-pace says whether an alarm was the reason.

--- a/packages/wisterialug-core/src/wisterialug_core/workflow/fill_interference.py
+++ b/packages/wisterialug-core/src/wisterialug_core/workflow/fill_interference.py
@@ -14,9 +14,11 @@
 from __future__ import annotations
 
 import enum
+import math
 from typing import TYPE_CHECKING, NamedTuple
 
 from wisterialug_core.workflow import (
+    fill_moves,
     fill_paces,
     fill_samples,
     interference_factors,
@@ -56,15 +58,10 @@
 # Time over a target after which all fill runs are paused, whatever their
 # factors; a tail may stay over its target for four seconds at most.
 MAX_OVER_TARGET_S = 1.3
-# Time after an alarm in which no fill run is sped up: runs that are harmless
-# one by one may interfere together.
-ALARM_COOLDOWN_S = 2.0
 # Samples show a pace after the order's delay and cover the last half second.
 MIN_PACE_INTERVAL_S = 0.4
 # Smaller changes of pace are not worth an order.
 MIN_CHANGE_PERCENT = 10
-# A fill run is better moved after this time of throttling.
-MOVE_AFTER_S = 1.0
 
 
 class ServingRoom(NamedTuple):
@@ -162,31 +159,41 @@
         """
         rooms = []
         for image, target in samples.targets.items():
-            load = samples.mean_loads.get(image, PRIOR_LOAD)
+            load = max(
+                samples.mean_loads.get(image, PRIOR_LOAD),
+                samples.loads.get(image, PRIOR_LOAD),
+            )
             raised = load * self._planned_inflation(image, shares)
             left = PLACEMENT_LIMIT * target - raised
+            if samples.alarmed:
+                # No run is sped up there for now.
+                left = min(0.0, left)
             rooms.append(ServingRoom(image, load, left))
         return tuple(rooms)
 
-    def feasible_pace(
+    def room_ratio(
         self, rooms: Iterable[ServingRoom], image: str, share: float
     ) -> float:
-        """Returns the fraction of full pace at which one more fill run fits.
+        """Returns how many times the room holds one more fill run.
 
         Args:
           rooms: What the worker's serving images leave.
           image: Image of the fill run to add.
           share: Part of the processors that it requests.
+
+        Returns:
+          The ratio, below 1 if the run does not fit at full pace; infinite if
+          it disturbs nothing.
         """
-        part = 1.0
+        ratio = math.inf
         for serving, load, left in rooms:
             factor = self._planned_factor(serving, image)
             if not factor:
                 continue
-            part = min(part, left / (load * factor * share + EPSILON))
-            if part <= 0:
+            ratio = min(ratio, left / (load * factor * share + EPSILON))
+            if ratio <= 0:
                 return 0.0
-        return max(0.0, part)
+        return ratio
 
     def react(
         self,
@@ -212,7 +219,10 @@
                     paces[name] = 0
         if alarm:
             samples.alarm_s = now_s
-        elif samples.alarm_s and now_s - samples.alarm_s < ALARM_COOLDOWN_S:
+        elif (
+            samples.alarm_s
+            and now_s - samples.alarm_s < fill_samples.ALARM_COOLDOWN_S
+        ):
             paces = {
                 name: min(percent, fills[name].percent)
                 for name, percent in paces.items()
@@ -225,8 +235,7 @@
             if reactions:
                 samples.paced_s = now_s
         for name, fill in fills.items():
-            slow_s = now_s - fill.slow_since_s if fill.slow_since_s else 0.0
-            if slow_s > MOVE_AFTER_S and name not in reactions:
+            if name not in reactions and fill_moves.is_due(fill, now_s):
                 reactions[name] = Reaction.MOVE
         return reactions
 
--- a/packages/wisterialug-core/src/wisterialug_core/workflow/fill_samples.py
+++ b/packages/wisterialug-core/src/wisterialug_core/workflow/fill_samples.py
@@ -11,6 +11,9 @@
 FULL_PERCENT = 100
 # A run at this pace or below would do better on another worker.
 THROTTLED_PERCENT = 40
+# Time after an alarm in which no fill run is sped up: runs that are harmless
+# one by one may interfere together.
+ALARM_COOLDOWN_S = 2.0
 
 
 class ServingTail(NamedTuple):
@@ -75,3 +78,10 @@
     paced_s: float = 0.0
     over_target_since_s: float = 0.0
     alarm_s: float = 0.0
+
+    @property
+    def alarmed(self) -> bool:
+        """Returns whether an alarm was raised just before the latest sample."""
+        return bool(
+            self.alarm_s and self.sampled_s - self.alarm_s < ALARM_COOLDOWN_S
+        )
--- a/packages/wisterialug-core/src/wisterialug_core/workflow/step_placement.py
+++ b/packages/wisterialug-core/src/wisterialug_core/workflow/step_placement.py
@@ -281,20 +281,26 @@
         )
 
 
-def can_place(
+def can_move(
     entry: job_entry.JobEntry,
-    group: model.GroupKey,
+    task: model.Task,
     workers: worker_table.WorkerTable,
     interference: fill_interference.InterferenceModel,
     now_s: float,
 ) -> bool:
-    """Returns whether one more task of a group fits at a useful pace."""
-    step = entry.job.steps[group.step]
-    usable = [w for w in workers.workers.values() if w.usable(now_s)]
+    """Returns whether a task fits on another worker at a useful pace."""
+    step = entry.job.steps[task.key.step]
+    usable = [
+        w
+        for w in workers.workers.values()
+        if w.usable(now_s) and w.report.id != task.worker
+    ]
     candidates = worker_rating.eligible_workers(entry, step, usable)
     fill_rooms = worker_rating.FillRooms(interference)
     return (
-        worker_rating.Candidates(step, group, candidates, fill_rooms).best()
+        worker_rating.Candidates(
+            step, task.group, candidates, fill_rooms
+        ).best()
         is not None
     )
 
--- a/packages/wisterialug-core/src/wisterialug_core/workflow/worker_rating.py
+++ b/packages/wisterialug-core/src/wisterialug_core/workflow/worker_rating.py
@@ -19,6 +19,11 @@
     )
 
 
+# Room for a fill run, as a multiple of what it takes up, from which more is no
+# better.
+AMPLE_ROOM_RATIO = 2.0
+
+
 def eligible_workers(
     entry: job_entry.JobEntry,
     step: workflow_pb2.Step,
@@ -78,9 +83,9 @@
             self._rooms[worker.report.id] = room
         return room
 
-    def pace(self, room: _FillRoom, image: str, share: float) -> float:
-        """Returns the fraction of full pace at which a fill run fits."""
-        return self._interference.feasible_pace(room.servings, image, share)
+    def ratio(self, room: _FillRoom, image: str, share: float) -> float:
+        """Returns how many times the room holds one more fill run."""
+        return self._interference.room_ratio(room.servings, image, share)
 
 
 class Candidates:
@@ -172,21 +177,23 @@
             return None
         if not self._throttled and room.millicores < step.cpu_millicores:
             return None
-        pace = self._fill_rooms.pace(room, step.image, worker.cpu_share(step))
-        if not self._throttled and pace < fill_interference.MIN_START_PACE:
+        ratio = self._fill_rooms.ratio(room, step.image, worker.cpu_share(step))
+        if not self._throttled and ratio < fill_interference.MIN_START_PACE:
             return None
-        return _fill_score(step, worker, pace)
+        return _fill_score(step, worker, ratio)
 
 
 def _fill_score(
-    step: workflow_pb2.Step, worker: worker_table.Worker, pace: float
+    step: workflow_pb2.Step, worker: worker_table.Worker, ratio: float
 ) -> tuple[bool, float, bool, int]:
     """Rates a worker for fill work; the lowest is best.
 
-    Workers without serving tasks are left to fill tasks that interfere.
+    Workers without serving tasks are left to fill tasks that interfere. A run
+    that just fits would be held as soon as the load rises.
     """
     remote = bool(step.data_rack) and step.data_rack != worker.rack
-    return remote, -pace, not worker.serving, -worker.fill_room_millicores()
+    room = min(AMPLE_ROOM_RATIO, ratio)
+    return remote, -room, not worker.serving, -worker.fill_room_millicores()
 
 
 def _score(
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/fill_pacing.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/fill_pacing.py
@@ -126,6 +126,7 @@
             percent=percent,
             urgency=fill.claim.urgency.name.lower(),
             tasks_left=fill.claim.tasks_left,
+            alarm=self.worker.samples.alarmed,
         )
         while not self._owner.lost and fill.percent == percent:
             if task.run != run or task.worker != self.worker.report.id:
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/owner.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/owner.py
@@ -275,10 +275,9 @@
 
     def can_move(self, task: model.Task) -> bool:
         """Returns whether another worker has room for an interfering task."""
-        entry = self.shard_jobs.jobs[task.key.job]
-        return step_placement.can_place(
-            entry,
-            model.GroupKey(*task.key[:3]),
+        return step_placement.can_move(
+            self.shard_jobs.jobs[task.key.job],
+            task,
             self.shard_workers,
             self.interference,
             clock.now_s(),
