Jobs with little work left start first

Cause: waiting tasks were sorted by classes of all the work that a job declares. So the last tasks of a wide step, and a run that was moved, waited behind each smaller job that came meanwhile, while nothing else of their job could go on.

Change: the classes, still a factor of four apart, are of the work that is left: the open tasks of the step and the steps after it. What does not change with the time is worked out once a step, as before.

The test that an order is not worked out in each round counts later_core_ms, which takes the place of size_class, with the same limit.

--- a/packages/wisterialug-core/src/wisterialug_core/workflow/urgency.py
+++ b/packages/wisterialug-core/src/wisterialug_core/workflow/urgency.py
@@ -60,14 +60,21 @@
     return after[group.step]
 
 
-def size_class(job: workflow_pb2.Job) -> int:
-    """Returns the order of magnitude of a job's declared work."""
-    core_ms = sum(
-        step.count * step.cpu_millicores * step.estimate_ms // 1000
-        for step in job.steps
-        if not step.long_running
-    )
-    return core_ms.bit_length() // SIZE_CLASS_BITS
+def later_core_ms(job: workflow_pb2.Job, step: int) -> int:
+    """Returns the declared work of the steps that come after a step."""
+    after = {step}
+    total = 0
+    for number, later in enumerate(job.steps):
+        if after.intersection(later.after):
+            after.add(number)
+            total += later.count * _task_core_ms(later)
+    return total
+
+
+def _task_core_ms(step: workflow_pb2.Step) -> int:
+    if step.long_running:
+        return 0
+    return step.cpu_millicores * step.estimate_ms // 1000
 
 
 def objective_ms(job: workflow_pb2.Job) -> float:
@@ -79,6 +86,8 @@
     """What decides when a group should start, whatever the time is now.
 
     Attributes:
+      task_core_ms: Declared work of one of its tasks.
+      later_core_ms: Declared work of the steps after it.
       latest_ms: Latest start at which its job can be on time, in Unix ms; the
         job's arrival for a long-running step.
       useful_ms: Latest start at which the job is of use.
@@ -86,7 +95,8 @@
 
     long_running: bool
     priority: int
-    size_class: int
+    task_core_ms: int
+    later_core_ms: int
     latest_ms: float
     useful_ms: float
 
@@ -106,14 +116,15 @@
     job = entry.job
     priority = job.policy.priority
     if job.steps[group.step].long_running:
-        return GroupTimes(True, priority, 0, job.accepted_ms, math.inf)
+        return GroupTimes(True, priority, 0, 0, job.accepted_ms, math.inf)
     begin_ms = entry.due_ms(group.repetition) or job.accepted_ms
     objective = objective_ms(job)
     left_ms = remaining_ms(entry, group)
     return GroupTimes(
         False,
         priority,
-        size_class(job),
+        _task_core_ms(job.steps[group.step]),
+        later_core_ms(job, group.step),
         begin_ms + objective - left_ms,
         begin_ms + LATE_FACTOR * objective - left_ms,
     )
@@ -124,8 +135,9 @@
 ) -> tuple[int, int, int, float]:
     """Returns the sort key of a waiting group, the lowest first.
 
-    In a backlog, small jobs go before large ones of the same priority: many of
-    them can be on time at the cost of one large job.
+    In a backlog, jobs with little work left go before others of the same
+    priority: many of them can be on time at the cost of one large job, and a
+    step's last tasks go before those of steps that have just begun.
     """
     times = group_times(entry, group)
     if times.long_running:
@@ -136,4 +148,8 @@
         urgency = Urgency.LATE
     else:
         urgency = Urgency.TOO_LATE
-    return urgency, times.priority, times.size_class, times.latest_ms
+    left_core_ms = (
+        times.later_core_ms + entry.open_tasks[group] * times.task_core_ms
+    )
+    size_class = left_core_ms.bit_length() // SIZE_CLASS_BITS
+    return urgency, times.priority, size_class, times.latest_ms
--- a/tests/test_core/test_workflow/test_step_placement.py
+++ b/tests/test_core/test_workflow/test_step_placement.py
@@ -174,6 +174,17 @@
             self.finish(job)
         self.assertEqual(["older", "small", "large"], order)
 
+    def test_last_task_of_a_wide_step_goes_before_smaller_jobs(self):
+        # A run that was moved would wait behind all jobs that come meanwhile.
+        self.worker("w0", cpu=1000)
+        self.job("wide", step(40), age_ms=500)
+        for index in range(39):
+            task = self.jobs.task(model.TaskKey("wide", 0, 0, index))
+            self.jobs.start(task, "w0", 1, NOW_S)
+            self.jobs.end(task, model.RunEnd.DONE, "", NOW_MS)
+        self.job("small", step(10), age_ms=500)
+        self.assertEqual([("wide", "w0")], self.plan())
+
     def test_long_running_tasks_go_first(self):
         self.worker("w0", cpu=1000)
         self.job("batch", step(1))
@@ -332,11 +343,13 @@
         for number in range(100):
             self.job(f"j{number}", step(5), step(5, after=[0]))
         counted = []
-        size_class = urgency.size_class
+        later_core_ms = urgency.later_core_ms
         self.patch(
             urgency,
-            "size_class",
-            lambda job: counted.append(job.id) or size_class(job),
+            "later_core_ms",
+            lambda job, step: (
+                counted.append(job.id) or later_core_ms(job, step)
+            ),
         )
         for _ in range(20):
             self.assertEqual([], self.plan())
