--- a/tests/test_core/test_workflow/test_step_placement.py
+++ b/tests/test_core/test_workflow/test_step_placement.py
@@ -174,6 +174,17 @@
             self.finish(job)
         self.assertEqual(["older", "small", "large"], order)
 
+    def test_last_task_of_a_wide_step_goes_before_smaller_jobs(self):
+        # A run that was moved would wait behind all jobs that come meanwhile.
+        self.worker("w0", cpu=1000)
+        self.job("wide", step(40), age_ms=500)
+        for index in range(39):
+            task = self.jobs.task(model.TaskKey("wide", 0, 0, index))
+            self.jobs.start(task, "w0", 1, NOW_S)
+            self.jobs.end(task, model.RunEnd.DONE, "", NOW_MS)
+        self.job("small", step(10), age_ms=500)
+        self.assertEqual([("wide", "w0")], self.plan())
+
     def test_long_running_tasks_go_first(self):
         self.worker("w0", cpu=1000)
         self.job("batch", step(1))
@@ -225,6 +236,38 @@
         worker.samples.targets["s"] = 0.8
         self.assertEqual([("fill", "w0")], self.plan())
 
+    def serve(self, name, load, cpu):
+        """Adds a worker whose serving task has a load."""
+        worker = self.worker(name, cpu=cpu)
+        worker.serving["s"] = 1
+        worker.samples.targets["s"] = 0.8
+        worker.samples.mean_loads["s"] = load
+        return worker
+
+    def test_fill_run_goes_where_it_still_fits_when_the_load_rises(self):
+        # Both hold it at full pace now, the larger one only just.
+        self.serve("tight", 0.63, cpu=20_000)
+        self.serve("ample", 0.4, cpu=16_000)
+        self.job("fill", step(1, fills=True, image="f"))
+        self.assertEqual([("fill", "ample")], self.plan())
+
+    def test_fill_run_is_not_moved_to_its_own_worker(self):
+        self.serve("w0", 0.4, cpu=16_000)
+        self.job("fill", step(1, fills=True, image="f"))
+        self.plan()
+        entry = self.jobs.jobs["fill"]
+        task = self.jobs.task(model.TaskKey("fill", 0, 0, 0))
+        self.pool.workers["w0"].samples.mean_loads["s"] = 0.5
+
+        def can_move():
+            return step_placement.can_move(
+                entry, task, self.pool, self.interference, NOW_S
+            )
+
+        self.assertFalse(can_move())
+        self.serve("w1", 0.4, cpu=16_000)
+        self.assertTrue(can_move())
+
     def load_fully(self, worker):
         """Adds a serving task that leaves no room for fill tasks."""
         self.job("serving", step(1, long_running=True, image="s", target_ms=50))
@@ -266,9 +309,9 @@
             self.job(f"short{number}", step(20, max_per_worker=0))
         self.assertEqual(50, len(self.plan()))
         calls = []
-        feasible_pace = self.interference.feasible_pace
-        self.interference.feasible_pace = lambda *args: (
-            calls.append(feasible_pace(*args)) or calls[-1]
+        room_ratio = self.interference.room_ratio
+        self.interference.room_ratio = lambda *args: (
+            calls.append(room_ratio(*args)) or calls[-1]
         )
         self.assertEqual([], self.plan())
         # One call for each image and worker, not for each job or task.
@@ -300,11 +343,13 @@
         for number in range(100):
             self.job(f"j{number}", step(5), step(5, after=[0]))
         counted = []
-        size_class = urgency.size_class
+        later_core_ms = urgency.later_core_ms
         self.patch(
             urgency,
-            "size_class",
-            lambda job: counted.append(job.id) or size_class(job),
+            "later_core_ms",
+            lambda job, step: (
+                counted.append(job.id) or later_core_ms(job, step)
+            ),
         )
         for _ in range(20):
             self.assertEqual([], self.plan())
