A wait goes on while others hold the far places, and is short for idle jobs

Cause: found on reading again. A wait was taken for ended in a round in which no other worker had room, so that its time began anew and it was counted as one that did not pay. And a job with nothing running could wait for most of a far run's extra time, tens of seconds for the longest tasks; with room elsewhere it is to start within 3 s.

A group that waits stays on record in such rounds; a job with nothing running waits 2 s at most.

--- a/packages/wisterialug-core/src/wisterialug_core/workflow/placement_wait.py
+++ b/packages/wisterialug-core/src/wisterialug_core/workflow/placement_wait.py
@@ -28,6 +28,9 @@
 # A wait has to leave a job on time even if it takes this much longer than
 # expected.
 SLACK_FACTOR = 1.5
+# A job with nothing running starts within three seconds where there is room;
+# rounds and orders take part of it.
+MAX_IDLE_WAIT_S = 2.0
 # Gangs for which one round looks for a rack that is free later; bounds its
 # duration.
 MAX_GANGS = 8
@@ -108,6 +111,10 @@
             and not (step.long_running or step.fills)
         )
 
+    def is_open(self, group: model.GroupKey) -> bool:
+        """Returns whether a group waits."""
+        return group in self._open
+
     def waited_s(self, group: model.GroupKey, now_s: float) -> float:
         """Returns how long a group has waited; 0 if it does not."""
         wait = self._open.get(group)
@@ -231,7 +238,9 @@
             return False
         self._stay.add(task.key)
         if elsewhere:
-            self._note(group, [task], step, when_s, step.data_rack)
+            self._chosen.add(task.key)
+        if elsewhere or self._waits.is_open(group):
+            self._note(group, 1, step, when_s, step.data_rack)
         return True
 
     def gang_waits(
@@ -258,17 +267,21 @@
         for rack, workers in racks.items():
             when_s = self._forecast.claim_all(step, group, workers, limit_s)
             if 0 < when_s < math.inf:
-                self._note(group, tasks, step, when_s, rack)
+                self._chosen.update(task.key for task in tasks)
+                self._note(group, len(tasks), step, when_s, rack)
                 return True
         return False
 
     def _limit_s(self, group: model.GroupKey, step: workflow_pb2.Step) -> float:
         """Returns how long a wait may be expected to take; 0 for none."""
         lost_s = self._lost_s(step)
-        if self._waits.waited_s(group, self._now_s) >= lost_s:
+        waited_s = self._waits.waited_s(group, self._now_s)
+        if waited_s >= lost_s:
             return 0.0
         limit_s = lost_s * run_times.SHORT_RUN_RATIO
         entry = self._jobs.jobs[group.job]
+        if not entry.active:
+            limit_s = min(limit_s, MAX_IDLE_WAIT_S - waited_s)
         latest_ms = urgency.group_times(entry, group).latest_ms
         slack_s = (latest_ms - self._now_ms) / 1000
         if slack_s >= lost_s:
@@ -283,17 +296,16 @@
     def _note(
         self,
         group: model.GroupKey,
-        tasks: list[model.Task],
+        tasks: int,
         step: workflow_pb2.Step,
         when_s: float,
         rack: str,
     ) -> None:
-        self._chosen.update(task.key for task in tasks)
         before = self._begun.get(group)
         self._begun[group] = Began(
             group,
             rack,
-            len(tasks) + (before.tasks if before else 0),
+            tasks + (before.tasks if before else 0),
             before.expected_s if before else when_s,
             self._lost_s(step),
         )
