Cold workers are loaded evenly, and after warm ones

Cause: the workers of a data centre that is taken back may be slow after their start, and look the emptiest; rated by room alone, they get a whole wave, one worker after the other.

Change: the list of workers tells how long a worker remains slow; a rating prefers warm workers with room, then the cold one with the fewest runs. Distance to the data and the pace of fill work go first.

Tested: test_cold_workers_of_a_data_centre_taken_back_are_loaded_evenly fails with the rating before this change, and passes now. Not measured for callers by itself.

--- a/packages/wisterialug-core/src/wisterialug_core/workflow/model.py
+++ b/packages/wisterialug-core/src/wisterialug_core/workflow/model.py
@@ -81,6 +81,7 @@
       address: Host and port.
       service: Pool that the worker belongs to.
       remaining_ms: Time until a draining worker leaves; 0 where unknown.
+      cold_ms: How much longer it is slow after its start; 0 once it is warm.
     """
 
     id: Incarnation
@@ -91,6 +92,7 @@
     capacity: resources.Amount
     labels: tuple[str, ...]
     remaining_ms: int
+    cold_ms: int = 0
 
     @property
     def name(self) -> str:
--- a/packages/wisterialug-core/src/wisterialug_core/workflow/worker_rating.py
+++ b/packages/wisterialug-core/src/wisterialug_core/workflow/worker_rating.py
@@ -178,29 +178,45 @@
         return _fill_score(step, worker, pace)
 
 
+def _cold_load(worker: worker_table.Worker) -> int:
+    """Returns the runs that a cold worker would have; 0 for a warm one.
+
+    The workers of a data centre may all be cold when it is taken back, and look
+    the emptiest: all that waits would start there at once.
+    """
+    return len(worker.runs) + 1 if worker.report.cold_ms else 0
+
+
 def _fill_score(
     step: workflow_pb2.Step, worker: worker_table.Worker, pace: float
-) -> tuple[bool, float, bool, int]:
+) -> tuple[bool, float, int, bool, int]:
     """Rates a worker for fill work; the lowest is best.
 
     Workers without serving tasks are left to fill tasks that interfere.
     """
     remote = bool(step.data_rack) and step.data_rack != worker.rack
-    return remote, -pace, not worker.serving, -worker.fill_room_millicores()
+    return (
+        remote,
+        -pace,
+        _cold_load(worker),
+        not worker.serving,
+        -worker.fill_room_millicores(),
+    )
 
 
 def _score(
     step: workflow_pb2.Step, worker: worker_table.Worker
-) -> tuple[bool, int, int]:
+) -> tuple[bool, int, int, int]:
     """Rates a worker for a task; the lowest is best.
 
     Serving tasks share workers, so that the others are left to fill tasks that
     would interfere with them.
     """
     remote = bool(step.data_rack) and step.data_rack != worker.rack
+    cold_load = _cold_load(worker)
     left = worker.free().cpu_millicores - step.cpu_millicores
     if step.long_running:
         # Workers with a single serving image suit more fill images.
         others = sum(worker.serving.values()) - worker.serving[step.image]
-        return remote, others, left
-    return remote, 0, left - worker.fill_millicores
+        return remote, cold_load, others, left
+    return remote, cold_load, 0, left - worker.fill_millicores
--- a/tests/test_core/test_workflow/test_evacuations.py
+++ b/tests/test_core/test_workflow/test_evacuations.py
@@ -62,7 +62,7 @@
         self.jobs = job_table.JobTable()
         self.pool = worker_table.WorkerTable()
 
-    def worker(self, name, data_centre="dc1", cpu=4000, label="a"):
+    def worker(self, name, data_centre="dc1", cpu=4000, label="a", cold_ms=0):
         worker = self.pool.update(
             model.WorkerReport(
                 id=name,
@@ -73,6 +73,7 @@
                 capacity=resources.Amount(cpu, 64_000, 0),
                 labels=(label, "r1"),
                 remaining_ms=0,
+                cold_ms=cold_ms,
             )
         )
         worker.fenced = True
@@ -174,3 +175,15 @@
         self.assertEqual(["labelled", "large"], self.held_back())
         self.evacuate("dc1", "dc2")
         self.assertEqual(["labelled", "large", "many"], self.held_back())
+
+    def test_cold_workers_of_a_data_centre_taken_back_are_loaded_evenly(self):
+        for kind in ({}, {"long_running": True}, {"fills": True, "image": "f"}):
+            self.pool = worker_table.WorkerTable()
+            self.jobs = job_table.JobTable()
+            self.worker("warm", "dc2")
+            cold = [self.worker(f"c{n}", cold_ms=3000) for n in range(3)]
+            self.job("wave", count=10, **kind)
+            placed = self.plan()
+            self.assertEqual(["warm"] * 4, placed[:4], kind)
+            self.assertEqual({"c0", "c1", "c2"}, set(placed[4:7]), kind)
+            self.assertEqual([2, 2, 2], [len(w.runs) for w in cold], kind)
--- a/tests/test_platform/test_decoding.py
+++ b/tests/test_platform/test_decoding.py
@@ -55,6 +55,8 @@
         draining = self.decode(state="draining", remaining_ms=1500)
         self.assertIs(model.WorkerState.DRAINING, draining.state)
         self.assertEqual(1500, draining.remaining_ms)
+        self.assertEqual(0, report.cold_ms)
+        self.assertEqual(700, self.decode(cold_left_ms=700).cold_ms)
 
     def test_birth_tells_incarnations_apart(self):
         first, second = self.decode(born=1764), self.decode(born=1765)
