Operators evacuate a data centre of the product's own scheduler

Cause: a data centre could only be emptied by draining its workers and instances one by one, and those that joined meanwhile were not covered. A start that was being recorded while its worker was drained was sent all the same.

Change: wisterialug data-centre evacuate ID [--off] is a drain of the config for a whole data centre, resolved where drains of workers and instances are. A start is undone when its record is answered and its worker is leaving by then.

--- a/packages/wisterialug-cli/src/wisterialug_cli/work_commands.py
+++ b/packages/wisterialug-cli/src/wisterialug_cli/work_commands.py
@@ -24,6 +24,7 @@
     _add_list_and_drain(commands, "vm", "entry VMs", "/v1/vms")
     _add_list_and_drain(commands, "worker", "workers", "/v1/workers")
     _add_instance(commands)
+    _add_data_centre(commands)
 
 
 def _add_service(commands: argparse._SubParsersAction) -> None:
@@ -162,10 +163,18 @@
     _add_drain(verbs, "instance")
 
 
-def _add_drain(verbs: argparse._SubParsersAction, kind: str) -> None:
-    drain = verbs.add_parser("drain", help=f"give a {kind} no new work")
+def _add_data_centre(commands: argparse._SubParsersAction) -> None:
+    parser = commands.add_parser("data-centre", help="data centres")
+    verbs = parser.add_subparsers(dest="verb", required=True)
+    _add_drain(verbs, "data-centre", "evacuate")
+
+
+def _add_drain(
+    verbs: argparse._SubParsersAction, kind: str, verb: str = "drain"
+) -> None:
+    drain = verbs.add_parser(verb, help=f"give a {kind} no new work")
     drain.add_argument("id")
-    drain.add_argument("--off", action="store_true", help="end the drain")
+    drain.add_argument("--off", action="store_true", help=f"end the {verb}")
     table_commands.add_wait_flags(drain)
     drain.set_defaults(run=_drain, kind=kind)
 
--- a/packages/wisterialug-core/src/wisterialug_core/decisions/config_state.py
+++ b/packages/wisterialug-core/src/wisterialug_core/decisions/config_state.py
@@ -20,6 +20,10 @@
     from collections.abc import Iterable
 
     from wisterialug_core import ids
+    from wisterialug_core.schema import work_pb2
+
+# Drains of this kind are evacuations: no VM of the data centre gets new work.
+DATA_CENTRE_KIND = "data-centre"
 
 
 def limit_key(customer: str, kind: str, name: str) -> ids.RowKey:
@@ -117,6 +121,19 @@
         rows = self.live_rows(f"drain/{kind}/")
         return {row.drain.id for row in rows}
 
+    def drained_vms(self, kind: str, vms: Iterable[work_pb2.Vm]) -> set[str]:
+        """Returns the ids of those VMs that are to get no new work.
+
+        Either they are drained themselves, or their data centre is evacuated.
+        """
+        drained = self.drained(kind)
+        evacuated = self.drained(DATA_CENTRE_KIND)
+        return {
+            vm.id
+            for vm in vms
+            if vm.id in drained or vm.data_centre in evacuated
+        }
+
 
 def conflicts(
     state: ConfigState, changes: Iterable[config_pb2.CellChange]
--- a/packages/wisterialug-core/src/wisterialug_core/decisions/shard.py
+++ b/packages/wisterialug-core/src/wisterialug_core/decisions/shard.py
@@ -149,7 +149,11 @@
             if attempt and attempt.stage is worker_record.AttemptStage.PLANNED:
                 attempt.stage = worker_record.AttemptStage.COMMITTED
                 self._tasks.counters.starts += 1
-                if attempt.stopping or self._has_restarted(worker, key):
+                if (
+                    attempt.stopping
+                    or self._pool.records[worker].leaving
+                    or self._has_restarted(worker, key)
+                ):
                     self._undo_start(worker, key)
         for worker, key in commit.ends:
             self._tasks.uncommitted_ends.discard(key)
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/instances.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/instances.py
@@ -44,12 +44,12 @@
 
     def refresh(self) -> None:
         """Updates the pools from the VM list and the configured drains."""
-        drained = self._config.state.drained("instance")
         listed: dict[ServiceId, dict[str, tuple[str, int]]] = {}
         leaving: dict[ServiceId, set[str]] = {}
         vms = self._inventory.of_role(
             work_pb2.VM_ROLE_INSTANCE, self._data_centre
         )
+        drained = self._config.state.drained_vms("instance", vms)
         for vm in vms:
             service = (vm.customer, vm.service)
             listed.setdefault(service, {})[vm.id] = (vm.ip, vm.port)
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/operations.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/operations.py
@@ -13,7 +13,7 @@
 from wisterialug_daemon import errors
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Collection
 
     from wisterialug_daemon import (
         config_sync,
@@ -26,7 +26,7 @@
 
 MAX_WAIT_S = 30.0
 MAX_TIMEOUT_MS = 600_000
-DRAIN_KINDS = ("vm", "worker", "instance")
+DRAIN_KINDS = ("vm", "worker", "instance", config_state.DATA_CENTRE_KIND)
 _STATES = {
     "running": config_pb2.SERVICE_STATE_RUNNING,
     "draining": config_pb2.SERVICE_STATE_DRAINING,
@@ -208,25 +208,34 @@
         return {"revision": self._change(build, body)}
 
     def drain(self, body: dict) -> dict[str, object]:
-        """Drains a VM, worker or instance, or ends its drain."""
+        """Drains a VM, worker, instance or data centre, or ends its drain."""
         kind, target = body.get("kind"), _name(body, "id")
+        on = body.get("on", True)
         if kind not in DRAIN_KINDS:
             raise errors.OperatorError(
                 400,
                 "the drain is not valid",
                 [f"field kind: {kind!r}; allowed: {', '.join(DRAIN_KINDS)}"],
             )
-        if target not in self._inventory.vms:
+        # The VMs of an evacuated data centre may all be gone when it ends.
+        ends_evacuation = kind == config_state.DATA_CENTRE_KIND and not on
+        if not ends_evacuation and target not in self._drainable(kind):
             raise errors.OperatorError(
                 404, f"the VM list has no {kind} {target!r}", []
             )
         row = config_pb2.ConfigRow(
             key=config_state.drain_key(kind, target),
-            deleted=not body.get("on", True),
+            deleted=not on,
             drain=config_pb2.Drain(kind=kind, id=target),
         )
         return {"revision": self._change(lambda state: [row], body)}
 
+    def _drainable(self, kind: str) -> Collection[str]:
+        vms = self._inventory.vms
+        if kind == config_state.DATA_CENTRE_KIND:
+            return {vm.data_centre for vm in vms.values()}
+        return vms.keys()
+
     def _change(
         self,
         build: Callable[[config_state.ConfigState], list[config_pb2.ConfigRow]],
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/shards.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/shards.py
@@ -66,9 +66,10 @@
             by_shard.keys() - self.runners.keys()
         ):
             self._claim(shard)
-        drained = self._config.state.drained("worker")
         for shard, runner in self.runners.items():
-            runner.set_workers(by_shard.get(shard, []), drained)
+            workers = by_shard.get(shard, [])
+            drained = self._config.state.drained_vms("worker", workers)
+            runner.set_workers(workers, drained)
         metrics.SHARDS_OWNED.set(len(self.runners))
         metrics.TASKS.labels("pending").set(
             sum(r.scheduler.pending_count() for r in self.runners.values())
--- a/tests/test_daemon/test_forwarding.py
+++ b/tests/test_daemon/test_forwarding.py
@@ -78,7 +78,7 @@
                 service="dispatch",
             )
         ]
-        config.state.drained.return_value = set()
+        config.state.drained_vms.return_value = set()
         shares, presence = mock.Mock(), mock.Mock()
         shares.limit.return_value = SLOTS
         presence.slots_usable.return_value = True
