--- a/packages/wisterialug-core/src/wisterialug_core/workflow/placement_wait.py
+++ b/packages/wisterialug-core/src/wisterialug_core/workflow/placement_wait.py
@@ -111,6 +111,11 @@
             and not (step.long_running or step.fills)
         )
 
+    def release(self) -> None:
+        """Lets all tasks go elsewhere, as none can start in this shard."""
+        self.chosen = set()
+        self.stay = set()
+
     def is_open(self, group: model.GroupKey) -> bool:
         """Returns whether a group waits."""
         return group in self._open
--- a/packages/wisterialug-core/src/wisterialug_core/workflow/step_placement.py
+++ b/packages/wisterialug-core/src/wisterialug_core/workflow/step_placement.py
@@ -61,6 +61,8 @@
     """
     usable = [w for w in workers.workers.values() if w.usable(now_s)]
     if not usable:
+        if waits is not None:
+            waits.release()
         return []
     for worker in usable:
         worker.health.update_slow(now_s)
--- a/packages/wisterialug-core/src/wisterialug_core/workflow/task_durations.py
+++ b/packages/wisterialug-core/src/wisterialug_core/workflow/task_durations.py
@@ -32,6 +32,8 @@
 MAX_ESTIMATE_MS = 600_000
 # Factors that are kept, those learned last; the record is one row.
 MAX_FACTORS = 256
+# Images with longer names are not learned, for the same reason.
+MAX_IMAGE_LENGTH = 100
 
 
 class DurationKey(NamedTuple):
@@ -71,7 +73,7 @@
         self, key: DurationKey, step: workflow_pb2.Step, ran_ms: float
     ) -> None:
         """Corrects a factor by the run time of one task."""
-        if ran_ms <= 0:
+        if ran_ms <= 0 or len(key.image) > MAX_IMAGE_LENGTH:
             return
         ratio = math.log(ran_ms / declared_ms(step))
         sample = min(MAX_LOG_RATIO, max(-MAX_LOG_RATIO, ratio))
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/evacuation_view.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/evacuation_view.py
@@ -7,8 +7,9 @@
 from wisterialug_daemon.workflow import clock
 
 # Part of the time within which an evacuation must be in force. The rest is left
-# for orders that are sent by the view at its oldest.
-MAX_AGE_SHARE = 0.8
+# for an order that is sent by the view at its oldest: it waits for its turn and
+# then for its answer, 0.8 s each.
+MAX_AGE_SHARE = 0.65
 
 
 class EvacuationView:
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/run_health.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/run_health.py
@@ -52,14 +52,16 @@
     report: worker_calls.RunReport,
 ) -> None:
     """Stops a run that has fallen behind its step, and rates its worker last."""
-    usual_s = _usual_s(shard_owner, task)
     elapsed_s = _elapsed_s(task, report)
     if (
-        usual_s is None
-        or elapsed_s is None
+        elapsed_s is None
         or task.restarts
         or task.phase is not model.Phase.RUNNING
-        or not stragglers.is_better_elsewhere(elapsed_s, run.progress, usual_s)
+    ):
+        return
+    usual_s = _usual_s(shard_owner, task)
+    if usual_s is None or not stragglers.is_better_elsewhere(
+        elapsed_s, run.progress, usual_s
     ):
         return
     worker = session.worker
@@ -83,10 +85,17 @@
 def _is_comparable(shard_owner: owner.ShardOwner, task: model.Task) -> bool:
     """Returns whether the time of a run is that of the task's whole work.
 
-    Fill work gets what others leave, so its time says little of its worker.
+    Fill work gets what others leave, and tasks away from their data take longer,
+    so their times say little of their workers.
     """
     step = shard_owner.shard_jobs.step(task.key)
-    return not (step.fills or step.long_running or step.gang or task.resumed)
+    return not (
+        step.fills
+        or step.long_running
+        or step.gang
+        or step.data_rack
+        or task.resumed
+    )
 
 
 def _usual_s(shard_owner: owner.ShardOwner, task: model.Task) -> float | None:
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/submission.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/submission.py
@@ -133,6 +133,10 @@
             exc = written.err_value
             if isinstance(exc, errors.ConflictError):
                 rows = exc.rows
+                if not rows:
+                    # The row is gone: a refusal was forgotten.
+                    self._row_version = 0
+                    self._refusal = None
             else:
                 if isinstance(exc, errors.StoreUnknownError):
                     unanswered = True
@@ -184,7 +188,9 @@
         if admission.shard:
             return result.Ok(ALREADY_RECORDED)
         self._refusal = admission
-        if row.value == sent or row.version > self._earlier_version:
+        # A refusal that is repeated has the same bytes as the earlier one.
+        written_now = row.value == sent and row.version != self._row_version
+        if written_now or row.version > self._earlier_version:
             # Written by this attempt, or for a later one of the same caller.
             return result.Err(self._refused())
         self._row_version = row.version
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/worker_session.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/worker_session.py
@@ -220,7 +220,7 @@
     def _deadline_ms(self, now_s: float) -> int | None:
         worker = self.worker
         if (
-            not worker.runs
+            not (worker.runs or self._acks.awaits_orders(now_s))
             or not worker.fenced
             or self._silent_s() > MAX_SILENCE_S
             or self._owner.lost
