A refusal that is repeated is taken for one just written

Callers saw nothing yet; found by review. An id had a refusal whose time to return had not come. One attempt wrote an acceptance, then a refusal, and got an answer to neither. The bytes of the refusal are those of the earlier one, so the row that was read back counted as written just now: the caller was told that the job had not run, while the acceptance was still under way and was carried out.

--- a/tests/test_daemon/test_submission.py
+++ b/tests/test_daemon/test_submission.py
@@ -120,6 +120,25 @@
         self.assertIs(Outcome.REFUSED, answer.outcome)
         self.assertGreater(answer.retry_after_s, 0)
 
+    def test_refusal_that_is_repeated_is_not_taken_for_a_new_one(self):
+        # Of one attempt, an acceptance and then a refusal get no answer; the
+        # refusal would have the same bytes as that of an earlier attempt.
+        self.assertIs(Outcome.REFUSED, self.attempt("n0", TOO_LATE).outcome)
+        self.pass_on()
+        decisions = [TOO_LATE, ACCEPT]
+
+        def decide(*_, **__):
+            if len(decisions) < 2:
+                self.store.late_commit_rate = 1.0
+            return decisions.pop(0) if decisions else TOO_LATE
+
+        self.patch(self.nodes["n0"].intake._admission, "decide", decide)
+        answer = self.attempt("n0")
+        self.store.late_commit_rate = 0.0
+        eventlet.sleep(2.5)
+        self.assertEqual(1, len({r.task[:16] for r in self.fleet.history}))
+        self.assertIsNot(Outcome.REFUSED, answer.outcome)
+
     def test_caller_who_returns_is_accepted(self):
         self.assertIs(Outcome.REFUSED, self.attempt("n0", TOO_LATE).outcome)
         asked = []
