Three circles of imports are gone

Cause: job_entry and urgency, crash_trials and worker_rating, errors and row_store imported one another for their types. Change: GroupTimes is in job_entry, eligible_workers in worker_table, and ConflictError in row_store. The circle of the thirteen modules around owner.py is left. No behaviour changes.

--- a/packages/wisterialug-core/src/wisterialug_core/workflow/crash_trials.py
+++ b/packages/wisterialug-core/src/wisterialug_core/workflow/crash_trials.py
@@ -9,13 +9,13 @@
 
 from typing import TYPE_CHECKING
 
-from wisterialug_core.workflow import job_table, worker_rating
+from wisterialug_core.workflow import job_table, worker_table
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
     from wisterialug_core.schema import workflow_pb2
-    from wisterialug_core.workflow import model, worker_table
+    from wisterialug_core.workflow import model
 
 # Share of the workers that try suspects at a time.
 MAX_TRIAL_SHARE = 0.125
@@ -131,7 +131,7 @@
             step = self._jobs.step(task.key)
             options = [
                 w
-                for w in worker_rating.eligible_workers(entry, step, usable)
+                for w in worker_table.eligible_workers(entry, step, usable)
                 if w.report.id not in self._tried
                 and _may_have_room(w, step, task)
             ]
--- a/packages/wisterialug-core/src/wisterialug_core/workflow/evacuated_work.py
+++ b/packages/wisterialug-core/src/wisterialug_core/workflow/evacuated_work.py
@@ -4,13 +4,13 @@
 
 from typing import TYPE_CHECKING
 
-from wisterialug_core.workflow import job_table, worker_rating
+from wisterialug_core.workflow import job_table, worker_table
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
     from wisterialug_core.schema import workflow_pb2
-    from wisterialug_core.workflow import model, worker_table
+    from wisterialug_core.workflow import model
 
 
 def held_back(
@@ -32,9 +32,9 @@
         entry = jobs.jobs[group.job]
         step = jobs.step(group)
         if not _could_run(
-            step, worker_rating.eligible_workers(entry, step, others)
+            step, worker_table.eligible_workers(entry, step, others)
         ) and _could_run(
-            step, worker_rating.eligible_workers(entry, step, evacuated)
+            step, worker_table.eligible_workers(entry, step, evacuated)
         ):
             tasks += waiting
     return tasks
--- a/packages/wisterialug-core/src/wisterialug_core/workflow/job_entry.py
+++ b/packages/wisterialug-core/src/wisterialug_core/workflow/job_entry.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, NamedTuple
 
 from wisterialug_core.schema import workflow_pb2
 from wisterialug_core.workflow import model, stragglers
@@ -11,7 +11,6 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable, Iterator
 
-    from wisterialug_core.workflow import urgency
 
 # `lent_to` of the tasks of a borrowed job that its home shard has not lent.
 HOME = "home"
@@ -44,6 +43,25 @@
     )
 
 
+class GroupTimes(NamedTuple):
+    """What decides when a group should start, whatever the time is now.
+
+    Attributes:
+      task_core_ms: Declared work of one of its tasks.
+      later_core_ms: Declared work of the steps after it.
+      latest_ms: Latest start at which its job can be on time, in Unix ms; the
+        job's arrival for a long-running step.
+      useful_ms: Latest start at which the job is of use.
+    """
+
+    long_running: bool
+    priority: int
+    task_core_ms: int
+    later_core_ms: int
+    latest_ms: float
+    useful_ms: float
+
+
 @dataclasses.dataclass(slots=True, eq=False)
 class JobEntry:
     """One job and its tasks.
@@ -73,7 +91,7 @@
     )
     active: int = 0
     lenders: set[str] = dataclasses.field(default_factory=set)
-    times: dict[model.GroupKey, urgency.GroupTimes] = dataclasses.field(
+    times: dict[model.GroupKey, GroupTimes] = dataclasses.field(
         default_factory=dict
     )
     # Times of finished tasks by group, until the group ends.
--- a/packages/wisterialug-core/src/wisterialug_core/workflow/preemption.py
+++ b/packages/wisterialug-core/src/wisterialug_core/workflow/preemption.py
@@ -16,7 +16,7 @@
     model,
     step_placement,
     urgency,
-    worker_rating,
+    worker_table,
 )
 
 if TYPE_CHECKING:
@@ -24,7 +24,6 @@
 
     from wisterialug_core.decisions import resources
     from wisterialug_core.schema import workflow_pb2
-    from wisterialug_core.workflow import worker_table
 
 # How long a stopped task leaves its room to short ones: at once, it would take
 # it back when the first of them ends, and be stopped for the next. The platform
@@ -75,7 +74,7 @@
     for group, _ in due:
         entry = jobs.jobs[group.job]
         step = jobs.step(group)
-        eligible = worker_rating.eligible_workers(entry, step, usable)
+        eligible = worker_table.eligible_workers(entry, step, usable)
         options = []
         for worker in eligible:
             count = worker.step_counts.get(group, 0)
--- a/packages/wisterialug-core/src/wisterialug_core/workflow/step_placement.py
+++ b/packages/wisterialug-core/src/wisterialug_core/workflow/step_placement.py
@@ -21,11 +21,12 @@
     task_placement,
     urgency,
     worker_rating,
+    worker_table,
 )
 
 if TYPE_CHECKING:
     from wisterialug_core.schema import workflow_pb2
-    from wisterialug_core.workflow import job_entry, worker_table
+    from wisterialug_core.workflow import job_entry
 
 # A fill job that waits for this long with nothing running gets one run even if
 # that must be throttled.
@@ -213,7 +214,7 @@
         first: bool,
     ) -> list[worker_table.Worker]:
         """Returns those of the workers that may run tasks of a step now."""
-        candidates = worker_rating.eligible_workers(entry, step, workers)
+        candidates = worker_table.eligible_workers(entry, step, workers)
         job = entry.job.id
         candidates = [
             w for w in candidates if not self._trials.is_closed(w, job)
@@ -244,7 +245,7 @@
         entry = self._jobs.jobs[group.job]
         step = entry.job.steps[group.step]
         workers = self._trials.admitted(self._usable, group.job)
-        workers = worker_rating.eligible_workers(entry, step, workers)
+        workers = worker_table.eligible_workers(entry, step, workers)
         queue = worker_rating.Candidates(
             step, group, workers, self._fill_rooms, throttled=step.fills
         )
@@ -344,7 +345,7 @@
         for w in workers.workers.values()
         if w.usable(now_s) and w.report.id != task.worker
     ]
-    candidates = worker_rating.eligible_workers(entry, step, usable)
+    candidates = worker_table.eligible_workers(entry, step, usable)
     fill_rooms = worker_rating.FillRooms(interference)
     return (
         worker_rating.Candidates(
--- a/packages/wisterialug-core/src/wisterialug_core/workflow/urgency.py
+++ b/packages/wisterialug-core/src/wisterialug_core/workflow/urgency.py
@@ -8,17 +8,16 @@
 import enum
 import math
 from collections.abc import Callable
-from typing import TYPE_CHECKING, NamedTuple
+from typing import TYPE_CHECKING
 
-from wisterialug_core.workflow import model
+from wisterialug_core.workflow import job_entry, model
 
 if TYPE_CHECKING:
     from wisterialug_core.schema import workflow_pb2
-    from wisterialug_core.workflow import job_entry
 
 # Returns the sort key of a waiting group, the lowest first, from its job, the
 # group and the Unix time in ms.
-Order = Callable[["job_entry.JobEntry", model.GroupKey, int], tuple]
+Order = Callable[[job_entry.JobEntry, model.GroupKey, int], tuple]
 
 # By the users' payoff rules, a job is of no use any more after this many times
 # its objective.
@@ -93,26 +92,9 @@
     return job.policy.stretch * chain_ms(job) + job.policy.target_latency_ms
 
 
-class GroupTimes(NamedTuple):
-    """What decides when a group should start, whatever the time is now.
-
-    Attributes:
-      task_core_ms: Declared work of one of its tasks.
-      later_core_ms: Declared work of the steps after it.
-      latest_ms: Latest start at which its job can be on time, in Unix ms; the
-        job's arrival for a long-running step.
-      useful_ms: Latest start at which the job is of use.
-    """
-
-    long_running: bool
-    priority: int
-    task_core_ms: int
-    later_core_ms: int
-    latest_ms: float
-    useful_ms: float
-
-
-def group_times(entry: job_entry.JobEntry, group: model.GroupKey) -> GroupTimes:
+def group_times(
+    entry: job_entry.JobEntry, group: model.GroupKey
+) -> job_entry.GroupTimes:
     """Returns a group's times; they change when a step of its job ends."""
     times = entry.times.get(group)
     if times is None:
@@ -123,15 +105,17 @@
 
 def _work_out_times(
     entry: job_entry.JobEntry, group: model.GroupKey
-) -> GroupTimes:
+) -> job_entry.GroupTimes:
     job = entry.job
     priority = job.policy.priority
     if job.steps[group.step].long_running:
-        return GroupTimes(True, priority, 0, 0, job.accepted_ms, math.inf)
+        return job_entry.GroupTimes(
+            True, priority, 0, 0, job.accepted_ms, math.inf
+        )
     begin_ms = entry.due_ms(group.repetition) or job.accepted_ms
     objective = objective_ms(job)
     left_ms = remaining_ms(entry, group)
-    return GroupTimes(
+    return job_entry.GroupTimes(
         False,
         priority,
         _task_core_ms(job.steps[group.step]),
--- a/packages/wisterialug-core/src/wisterialug_core/workflow/worker_rating.py
+++ b/packages/wisterialug-core/src/wisterialug_core/workflow/worker_rating.py
@@ -13,7 +13,6 @@
     from wisterialug_core.schema import workflow_pb2
     from wisterialug_core.workflow import (
         crash_trials,
-        job_entry,
         model,
         worker_table,
     )
@@ -24,21 +23,6 @@
 AMPLE_ROOM_RATIO = 2.0
 
 
-def eligible_workers(
-    entry: job_entry.JobEntry,
-    step: workflow_pb2.Step,
-    usable: list[worker_table.Worker],
-) -> list[worker_table.Worker]:
-    """Returns the workers that are eligible for a step."""
-    service, label = entry.job.policy.service, step.required_label
-    return [
-        w
-        for w in usable
-        if w.report.service == service
-        and (not label or label in w.report.labels)
-    ]
-
-
 class _FillRoom(NamedTuple):
     """What a worker leaves to fill work.
 
--- a/packages/wisterialug-core/src/wisterialug_core/workflow/worker_table.py
+++ b/packages/wisterialug-core/src/wisterialug_core/workflow/worker_table.py
@@ -18,6 +18,7 @@
 
 if TYPE_CHECKING:
     from wisterialug_core.schema import workflow_pb2
+    from wisterialug_core.workflow import job_entry
 
 # Highest share of their processors that serving tasks are assumed to use; their
 # load is not reported.
@@ -304,3 +305,18 @@
             for w in self.workers.values()
             if w.usable(now_s)
         )
+
+
+def eligible_workers(
+    entry: job_entry.JobEntry,
+    step: workflow_pb2.Step,
+    usable: list[Worker],
+) -> list[Worker]:
+    """Returns the workers that are eligible for a step."""
+    service, label = entry.job.policy.service, step.required_label
+    return [
+        w
+        for w in usable
+        if w.report.service == service
+        and (not label or label in w.report.labels)
+    ]
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/election.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/election.py
@@ -319,7 +319,7 @@
                 "shard-not-taken", shard=name, error=str(outcome.err_value)
             )
             shard.backoff_until_s = sent_s + RETRY_S
-            if not isinstance(outcome.err_value, errors.ConflictError):
+            if not isinstance(outcome.err_value, row_store.ConflictError):
                 # The store may fail for the owner too; count its silence anew.
                 shard.changed_s = clock.now_s()
             return
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/errors.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/errors.py
@@ -10,7 +10,6 @@
 
 if TYPE_CHECKING:
     from wisterialug_core.workflow import model
-    from wisterialug_daemon.workflow import row_store
 
 
 class StoreError(errors.DaemonError):
@@ -37,16 +36,6 @@
         return f"no response from the store: {self.reason}"
 
 
-@dataclasses.dataclass(frozen=True)
-class ConflictError(StoreError):
-    """Reports a transaction whose conditions did not hold."""
-
-    rows: tuple[row_store.Row, ...]
-
-    def __str__(self) -> str:
-        return f"transaction conflict: {len(self.rows)} rows changed"
-
-
 class HistoryLostError(StoreError):
     """Reports that changes since a version are no longer available."""
 
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/intake.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/intake.py
@@ -344,7 +344,7 @@
         if written.is_ok():
             return Response(Outcome.OK)
         exc = written.err_value
-        if isinstance(exc, errors.ConflictError):
+        if isinstance(exc, row_store.ConflictError):
             return Response(Outcome.OK, detail=submission.ALREADY_RECORDED)
         if isinstance(exc, errors.StoreUnknownError):
             return Response(
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/row_store.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/row_store.py
@@ -6,11 +6,11 @@
 import dataclasses
 from typing import TYPE_CHECKING, NamedTuple
 
+from wisterialug_daemon.workflow import errors
+
 if TYPE_CHECKING:
     import result
 
-    from wisterialug_daemon.workflow import errors
-
 
 class RowRef(NamedTuple):
     """Identifies a row; a transaction within one part costs less."""
@@ -63,6 +63,16 @@
     version: int
 
 
+@dataclasses.dataclass(frozen=True)
+class ConflictError(errors.StoreError):
+    """Reports a transaction whose conditions did not hold."""
+
+    rows: tuple[Row, ...]
+
+    def __str__(self) -> str:
+        return f"transaction conflict: {len(self.rows)} rows changed"
+
+
 class RowStore(abc.ABC):
     """A store that loses no acknowledged change."""
 
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/shard_store.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/shard_store.py
@@ -227,7 +227,7 @@
         """
         if outcome.is_ok():
             return outcome.ok_value
-        if not isinstance(outcome.err_value, errors.ConflictError):
+        if not isinstance(outcome.err_value, row_store.ConflictError):
             return None
         rows = {row.ref: row for row in outcome.err_value.rows}
         marked = rows.get(records.mark(self.shard))
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/store_writer.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/store_writer.py
@@ -2,15 +2,10 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
-
 import eventlet
 import result
 
-from wisterialug_daemon.workflow import clock, errors
-
-if TYPE_CHECKING:
-    from wisterialug_daemon.workflow import row_store
+from wisterialug_daemon.workflow import clock, errors, row_store
 
 # A store that is only slow carries an attempt out nevertheless; a repeated one
 # would wait behind it.
@@ -59,7 +54,7 @@
     while True:
         outcome = write_once(store, transaction, until_s)
         if outcome.is_ok() or isinstance(
-            outcome.err_value, errors.ConflictError
+            outcome.err_value, row_store.ConflictError
         ):
             return outcome
         if isinstance(outcome.err_value, errors.StoreUnknownError):
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/submission.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/submission.py
@@ -131,7 +131,7 @@
                 self._admission.note_accepted(self._job)
                 return result.Ok("")
             exc = written.err_value
-            if isinstance(exc, errors.ConflictError):
+            if isinstance(exc, row_store.ConflictError):
                 rows = exc.rows
                 if not rows:
                     # The row is gone: a refusal was forgotten.
--- a/packages/wisterialug-standins/src/wisterialug_standins/memory_store.py
+++ b/packages/wisterialug-standins/src/wisterialug_standins/memory_store.py
@@ -160,7 +160,7 @@
         ]
         expected = [version for _, version in transaction.conditions]
         if [row.version for row in current] != expected:
-            return result.Err(errors.ConflictError(tuple(current)))
+            return result.Err(row_store.ConflictError(tuple(current)))
         self._version += 1
         for ref, value in transaction.writes:
             self._rows[ref] = (self._version, value)
--- a/tests/test_daemon/test_shard_store.py
+++ b/tests/test_daemon/test_shard_store.py
@@ -8,7 +8,6 @@
 from wisterialug_core.schema import workflow_pb2
 from wisterialug_daemon.workflow import (
     clock,
-    errors,
     records,
     row_store,
     shard_store,
@@ -24,7 +23,7 @@
     def commit(self, transaction, timeout_s):
         outcome = super().commit(transaction, timeout_s)
         if outcome.is_ok() or not isinstance(
-            outcome.err_value, errors.ConflictError
+            outcome.err_value, row_store.ConflictError
         ):
             return outcome
         expected = dict(transaction.conditions)
@@ -33,7 +32,7 @@
             for row in outcome.err_value.rows
             if row.version != expected[row.ref]
         ]
-        return result.Err(errors.ConflictError(tuple(rows)))
+        return result.Err(row_store.ConflictError(tuple(rows)))
 
 
 class LostReplyTest(testtools.TestCase):
--- a/tests/test_platform/test_store.py
+++ b/tests/test_platform/test_store.py
@@ -60,7 +60,7 @@
     def test_conflict_returns_the_current_rows(self):
         row = {"table": "t", "part": "p", "key": "k", "ver": 4, "value": "dg=="}
         outcome = self.commit(lambda _: response(412, rows=[row]))
-        self.assertIsInstance(outcome.err_value, errors.ConflictError)
+        self.assertIsInstance(outcome.err_value, row_store.ConflictError)
         self.assertEqual((row_store.Row(REF, 4, b"v"),), outcome.err_value.rows)
 
     def test_commit_refused_everywhere_is_not_done(self):
