Tests of the scheduler's decisions share their workers

Cause: six test files built the same worker, line by line. Change: pools.add_worker builds it. No check has changed.

--- a/tests/test_core/test_workflow/test_crash_trials.py
+++ b/tests/test_core/test_workflow/test_crash_trials.py
@@ -2,7 +2,7 @@
 
 import testtools
 
-from wisterialug_core.decisions import resources
+from tests.test_core.test_workflow import pools
 from wisterialug_core.schema import workflow_pb2
 from wisterialug_core.workflow import (
     crash_evidence,
@@ -29,19 +29,7 @@
             self.add_worker(f"w{number}")
 
     def add_worker(self, name):
-        worker = self.pool.update(
-            model.WorkerReport(
-                id=name,
-                address="10.0.0.1:1",
-                service="app",
-                data_centre="d",
-                state=model.WorkerState.READY,
-                capacity=resources.Amount(16_000, 64_000, 0),
-                labels=("a", "r1"),
-                remaining_ms=0,
-            )
-        )
-        worker.fenced = True
+        pools.add_worker(self.pool, name, 16_000)
 
     def add_job(self, name, count, **fields):
         step = workflow_pb2.Step(
--- a/tests/test_core/test_workflow/test_finite_first.py
+++ b/tests/test_core/test_workflow/test_finite_first.py
@@ -2,7 +2,7 @@
 
 import testtools
 
-from wisterialug_core.decisions import resources
+from tests.test_core.test_workflow import pools
 from wisterialug_core.schema import workflow_pb2
 from wisterialug_core.workflow import (
     fill_interference,
@@ -30,18 +30,7 @@
         self.now_ms = 1_000_000
         self.active = []
         for number in range(WORKERS):
-            self.pool.update(
-                model.WorkerReport(
-                    id=f"w{number}",
-                    address="10.0.0.1:1",
-                    service="app",
-                    data_centre="d",
-                    state=model.WorkerState.READY,
-                    capacity=resources.Amount(CAPACITY, 64_000, 0),
-                    labels=("a", "r1"),
-                    remaining_ms=0,
-                )
-            ).fenced = True
+            pools.add_worker(self.pool, f"w{number}", CAPACITY)
 
     def submit(self, name, count, millicores, *, lasting=False, priority=0):
         policy = workflow_pb2.Policy(
--- a/tests/test_core/test_workflow/test_lending.py
+++ b/tests/test_core/test_workflow/test_lending.py
@@ -2,6 +2,7 @@
 
 import testtools
 
+from tests.test_core.test_workflow import pools
 from wisterialug_core.decisions import resources
 from wisterialug_core.schema import workflow_pb2
 from wisterialug_core.workflow import job_table, lending, model, worker_table
@@ -93,19 +94,7 @@
         self.pool = worker_table.WorkerTable()
 
     def worker(self, name, cpu, used=0):
-        worker = self.pool.update(
-            model.WorkerReport(
-                id=name,
-                address="10.0.0.1:1",
-                service="app",
-                data_centre="d",
-                state=model.WorkerState.READY,
-                capacity=resources.Amount(cpu, 256_000, 0),
-                labels=("a", "r1"),
-                remaining_ms=0,
-            )
-        )
-        worker.fenced = True
+        worker = pools.add_worker(self.pool, name, cpu, memory_mib=256_000)
         worker.reserved = resources.Amount(used, 0, 0)
 
     def spare(self, chosen=()):
--- a/tests/test_core/test_workflow/test_placement_wait.py
+++ b/tests/test_core/test_workflow/test_placement_wait.py
@@ -2,7 +2,7 @@
 
 import testtools
 
-from wisterialug_core.decisions import resources
+from tests.test_core.test_workflow import pools
 from wisterialug_core.schema import workflow_pb2
 from wisterialug_core.workflow import (
     fill_interference,
@@ -30,20 +30,7 @@
         self.now_s = NOW_S
 
     def worker(self, name, rack, cpu=2000):
-        worker = self.pool.update(
-            model.WorkerReport(
-                id=name,
-                address="10.0.0.1:1",
-                service="app",
-                data_centre="d",
-                state=model.WorkerState.READY,
-                capacity=resources.Amount(cpu, 64_000, 0),
-                labels=("a", rack),
-                remaining_ms=0,
-            )
-        )
-        worker.fenced = True
-        return worker
+        return pools.add_worker(self.pool, name, cpu, rack=rack)
 
     def job(self, name, count=1, latency_ms=60_000, **fields):
         fields.setdefault("estimate_ms", 2000)
--- a/tests/test_core/test_workflow/test_step_placement.py
+++ b/tests/test_core/test_workflow/test_step_placement.py
@@ -2,6 +2,7 @@
 
 import testtools
 
+from tests.test_core.test_workflow import pools
 from wisterialug_core.decisions import resources
 from wisterialug_core.schema import workflow_pb2
 from wisterialug_core.workflow import (
@@ -26,20 +27,7 @@
         self.interference = fill_interference.InterferenceModel()
 
     def worker(self, name, cpu=16_000, rack="r1", **fields):
-        worker = self.pool.update(
-            model.WorkerReport(
-                id=name,
-                address="10.0.0.1:1",
-                service="app",
-                data_centre="d",
-                state=fields.pop("state", model.WorkerState.READY),
-                capacity=resources.Amount(cpu, 64_000, 0),
-                labels=("a", rack),
-                remaining_ms=0,
-            )
-        )
-        worker.fenced = True
-        return worker
+        return pools.add_worker(self.pool, name, cpu, rack, **fields)
 
     def job(self, name, *steps, age_ms=0, priority=0, stretch=2.0):
         policy = workflow_pb2.Policy(
--- a/tests/test_core/test_workflow/test_work_ahead.py
+++ b/tests/test_core/test_workflow/test_work_ahead.py
@@ -2,7 +2,7 @@
 
 import testtools
 
-from wisterialug_core.decisions import resources
+from tests.test_core.test_workflow import pools
 from wisterialug_core.schema import workflow_pb2
 from wisterialug_core.workflow import (
     job_table,
@@ -25,18 +25,7 @@
             self.add_worker(f"w{number}", 16_000)
 
     def add_worker(self, name, millicores):
-        self.pool.update(
-            model.WorkerReport(
-                id=name,
-                address="10.0.0.1:1",
-                service="app",
-                data_centre="d",
-                state=model.WorkerState.READY,
-                capacity=resources.Amount(millicores, 64_000, 0),
-                labels=("a", "r1"),
-                remaining_ms=0,
-            )
-        ).fenced = True
+        pools.add_worker(self.pool, name, millicores)
 
     def submit(self, name, age_ms=0, **fields):
         fields = {
