--- a/packages/wisterialug-daemon/src/wisterialug_daemon/metrics.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/metrics.py
@@ -136,6 +136,9 @@
     "Waits for a place near the data or the group, by outcome.",
     ("outcome",),
 )
+CONFIG_SECONDS = _histogram(
+    "config_seconds", "Steps of learning a newer config, by step.", ("step",)
+)
 CONFIG_VERSION = _gauge("config_version", "Version of the config in force.")
 EVACUATIONS = _gauge(
     "evacuations", "Data centres out of service, as known here."
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/config_watch.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/config_watch.py
@@ -69,30 +69,55 @@
                 else self._source.watch(cursor, wait_s)
             )
             if outcome.is_err():
+                logs.event(
+                    "config-attempt-failed",
+                    way="read" if cursor < 0 else "watch",
+                    cursor=cursor,
+                    took_s=round(clock.now_s() - asked_s, 3),
+                    error=str(outcome.err_value),
+                )
                 self._set_connected(False, str(outcome.err_value))
                 if isinstance(outcome.err_value, errors.HistoryLostError):
                     cursor = -1
                 eventlet.sleep(RETRY_S)
                 continue
             self._set_connected(True, "")
+            way = "read" if cursor < 0 else "watch"
             cursor = outcome.ok_value.cursor
-            self._apply(outcome.ok_value.table)
+            self._apply(outcome.ok_value, way)
             if outcome.ok_value.evacuations is not None:
                 self.evacuations.apply(outcome.ok_value.evacuations, asked_s)
 
-    def _apply(self, table: routes.RouteTable | None) -> None:
+    def _apply(self, change: sources.ConfigChange, way: str) -> None:
+        table = change.table
         if table is None:
             return
         if self.table is not None and table.version <= self.table.version:
             return
+        before = self.table.version if self.table else 0
+        self.table = table
+        metrics.CONFIG_VERSION.set(table.version)
+        metrics.CONFIG_SECONDS.labels("decode").observe(change.decode_s)
+        fields = {"decode_s": round(change.decode_s, 3)}
+        if change.transfer is not None:
+            transfer = change.transfer
+            metrics.CONFIG_SECONDS.labels("wait").observe(transfer.waited_s)
+            metrics.CONFIG_SECONDS.labels("body").observe(transfer.body_s)
+            fields |= {
+                "from": transfer.address,
+                "waited_s": round(transfer.waited_s, 3),
+                "body_s": round(transfer.body_s, 3),
+                "size_bytes": transfer.size_bytes,
+            }
         logs.event(
             "config-applied",
             version=table.version,
-            before=self.table.version if self.table else 0,
+            before=before,
             routes=len(table.routes),
+            way=way,
+            cursor=change.cursor,
+            **fields,
         )
-        self.table = table
-        metrics.CONFIG_VERSION.set(table.version)
 
     def _set_connected(self, connected: bool, error: str) -> None:
         if connected != self._connected:
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/row_store.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/row_store.py
@@ -42,6 +42,21 @@
     removes: tuple[RowRef, ...] = ()
 
 
+class Transfer(NamedTuple):
+    """How an answer of the store has arrived.
+
+    Attributes:
+      address: Who has sent it: the store, or a VM that relays its answers.
+      waited_s: From the call to the beginning of the answer.
+      body_s: From there to its last byte.
+    """
+
+    address: str
+    waited_s: float
+    body_s: float
+    size_bytes: int
+
+
 @dataclasses.dataclass(frozen=True)
 class Snapshot:
     """Rows of a part at one version, by key; `more` if some are left out."""
@@ -49,6 +64,7 @@
     rows: tuple[Row, ...]
     more: bool
     version: int
+    transfer: Transfer | None = None
 
 
 @dataclasses.dataclass(frozen=True)
@@ -61,6 +77,7 @@
     rows: tuple[Row, ...]
     removed: tuple[RowRef, ...]
     version: int
+    transfer: Transfer | None = None
 
 
 @dataclasses.dataclass(frozen=True)
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/sources.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/sources.py
@@ -10,7 +10,7 @@
     import result
 
     from wisterialug_core.workflow import evacuations, model, routes
-    from wisterialug_daemon.workflow import errors
+    from wisterialug_daemon.workflow import errors, row_store
 
 
 @dataclasses.dataclass(frozen=True)
@@ -51,11 +51,15 @@
       cursor: Version from which to watch.
       evacuations: Changes of the data centres out of service; None where the
         source does not follow them.
+      transfer: How the change has arrived, if that is known.
+      decode_s: How long decoding the table took.
     """
 
     table: routes.RouteTable | None
     cursor: int
     evacuations: evacuations.Changes | None = None
+    transfer: row_store.Transfer | None = None
+    decode_s: float = 0.0
 
 
 class ConfigSource(abc.ABC):
