--- /dev/null
+++ b/tests/test_platform/test_thin_links.py
@@ -0,0 +1,152 @@
+"""Configs that take seconds to arrive, as a VM's link is thin."""
+
+import json
+import random
+
+from wisterialug_daemon import hub
+
+hub.install("eventlet.hubs.epolls")
+
+# The standard library must be patched before these are imported.
+import eventlet  # noqa: E402
+import testtools  # noqa: E402
+from wisterialug_platform import (  # noqa: E402
+    config_source,
+    http_client,
+    relay,
+    store,
+)
+
+from tests.test_platform import thin_store  # noqa: E402
+from wisterialug_daemon.http import server  # noqa: E402
+from wisterialug_daemon.workflow import (  # noqa: E402
+    clock,
+    config_watch,
+    row_store,
+)
+from wisterialug_standins import memory_store  # noqa: E402
+
+CONFIG_REF = row_store.RowRef(
+    store.OPERATOR_TABLE, "", config_source.CONFIG_KEY
+)
+# Half of 10 Mbit/s.
+LINK_BYTES_PER_S = 625_000
+# What operators are promised from the acknowledgement of a change on.
+IN_FORCE_S = 3.0
+
+
+def config(version, routes):
+    """Returns a config with rows of the size seen on the platform."""
+    fields = {
+        "version": version,
+        "routes": [
+            {
+                "name": f"r-{number:07}",
+                "host": f"host{number % 60}.example",
+                "path_prefix": f"/{number:08}/",
+                "service": "phonebook",
+                "kind": "unsafe",
+                "timeout_ms": 3000 + version,
+                "target_latency_ms": 1000,
+                "max_attempts": 2,
+            }
+            for number in range(routes)
+        ],
+        "services": {},
+        "limits": {},
+    }
+    return json.dumps(fields).encode()
+
+
+class ThinLinkTest(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.rows = memory_store.MemoryStore(random.Random(1))
+        self.store = thin_store.ThinStore(self.rows, LINK_BYTES_PER_S)
+        self.addCleanup(self.store.close)
+        self.peers = []
+
+    def write(self, version, routes):
+        """Writes a config; returns when it was acknowledged."""
+        change = row_store.Transaction(
+            writes=((CONFIG_REF, config(version, routes)),)
+        )
+        self.assertTrue(self.rows.commit(change, 1.0).is_ok())
+        return clock.now_s()
+
+    def follow(self):
+        """Starts to follow the config as a VM does."""
+        client = http_client.HttpClient()
+        self.addCleanup(client.close)
+        rows = store.PlatformStore(
+            client, self.store.address, lambda: self.peers
+        )
+        watch = config_watch.ConfigWatch(
+            config_source.StoreConfigSource(rows, with_evacuations=False), None
+        )
+        watch.start()
+        self.addCleanup(watch.close)
+        return watch
+
+    def check_in_force(self, watch, version, acked_s):
+        while clock.now_s() < acked_s + IN_FORCE_S:
+            eventlet.sleep(0.02)
+            if watch.table is not None and watch.table.version >= version:
+                return
+        found = watch.table.version if watch.table else None
+        self.fail(f"version {found} in force, {version} was acknowledged")
+
+    def test_config_that_takes_seconds_to_arrive_is_in_force_in_time(self):
+        acked_s = self.write(1, 10)
+        watch = self.follow()
+        self.check_in_force(watch, 1, acked_s)
+        acked_s = self.write(2, 4445)
+        self.check_in_force(watch, 2, acked_s)
+
+    def test_vm_that_joins_reads_a_config_that_takes_seconds(self):
+        self.write(1, 4445)
+        watch = self.follow()
+        self.check_in_force(watch, 1, clock.now_s())
+
+    def test_changes_in_a_row_are_in_force_in_time(self):
+        acked_s = self.write(1, 10)
+        watch = self.follow()
+        self.check_in_force(watch, 1, acked_s)
+        for version in range(2, 6):
+            acked_s = self.write(version, 3045)
+            eventlet.sleep(1.5)
+        self.check_in_force(watch, version, acked_s)
+
+    def test_config_is_in_force_in_time_after_the_history_is_lost(self):
+        acked_s = self.write(1, 10)
+        watch = self.follow()
+        self.check_in_force(watch, 1, acked_s)
+        acked_s = self.write(2, 4445)
+        self.rows.compact_history()
+        self.check_in_force(watch, 2, acked_s)
+
+    def test_relayed_config_that_takes_seconds_is_in_force_in_time(self):
+        reached = thin_store.ThinStore(self.rows, LINK_BYTES_PER_S)
+        self.addCleanup(reached.close)
+        client = http_client.HttpClient()
+        self.addCleanup(client.close)
+        rows = store.PlatformStore(client, reached.address)
+        peer = server.WsgiServer("127.0.0.1", 0, relay.RelayApplication(rows))
+        self.addCleanup(peer.close)
+        self.peers = [f"127.0.0.1:{peer.port}"]
+        self.store.refusing = True
+        acked_s = self.write(1, 10)
+        watch = self.follow()
+        self.check_in_force(watch, 1, acked_s)
+        acked_s = self.write(2, 4445)
+        self.check_in_force(watch, 2, acked_s)
+
+    def test_answer_that_stalls_is_given_up(self):
+        acked_s = self.write(1, 10)
+        watch = self.follow()
+        self.check_in_force(watch, 1, acked_s)
+        self.store.stalled_after = 50_000
+        acked_s = self.write(2, 1000)
+        eventlet.sleep(0.5)
+        self.store.stalled_after = None
+        self.check_in_force(watch, 2, acked_s)
--- /dev/null
+++ b/tests/test_platform/thin_store.py
@@ -0,0 +1,104 @@
+"""The platform's store over HTTP, behind a link of a given rate."""
+
+import base64
+import json
+import urllib.parse
+
+import eventlet
+
+from wisterialug_daemon.http import server
+from wisterialug_daemon.workflow import clock
+
+READ_TIMEOUT_S = 1.0
+PIECE_BYTES = 8192
+
+
+class ThinLink:
+    """A link that all responses share, piece by piece."""
+
+    def __init__(self, bytes_per_s):
+        self.bytes_per_s = bytes_per_s
+        self._free_s = 0.0
+
+    def send(self, data):
+        for start in range(0, len(data), PIECE_BYTES):
+            piece = data[start : start + PIECE_BYTES]
+            begins_s = max(self._free_s, clock.now_s())
+            self._free_s = begins_s + len(piece) / self.bytes_per_s
+            eventlet.sleep(max(0.0, self._free_s - clock.now_s()))
+            yield piece
+
+
+class ThinStore:
+    """Answers scans and feeds of a store in memory.
+
+    Attributes:
+      requests: Paths of all requests.
+      refusing: All requests are refused.
+      stalled_after: Bytes of a response after which nothing more is sent;
+        None while all of it is.
+    """
+
+    def __init__(self, rows, bytes_per_s):
+        self.link = ThinLink(bytes_per_s)
+        self.requests = []
+        self.refusing = False
+        self.stalled_after = None
+        self._rows = rows
+        self._server = server.WsgiServer("127.0.0.1", 0, self._answer)
+
+    @property
+    def address(self):
+        return f"127.0.0.1:{self._server.port}"
+
+    def close(self):
+        self._server.close()
+
+    def _answer(self, environ, start_response):
+        path = environ["PATH_INFO"]
+        self.requests.append(path)
+        if self.refusing:
+            return server.json_response(start_response, 503, {})
+        query = dict(urllib.parse.parse_qsl(environ["QUERY_STRING"], True))
+        outcome = self._feed(query) if "feed" in path else self._scan(query)
+        if outcome.is_err():
+            return server.json_response(start_response, 410, {})
+        read = outcome.ok_value
+        rows = [_written(row) for row in read.rows]
+        if "feed" in path:
+            rows += [_removed(ref) for ref in read.removed]
+        fields = {"rows": rows, "ver": read.version, "has_more": False}
+        data = json.dumps(fields).encode()
+        start_response("200 OK", [("Content-Length", str(len(data)))])
+        return self._send(data)
+
+    def _send(self, data):
+        sent = 0
+        for piece in self.link.send(data):
+            if self.stalled_after is not None and sent >= self.stalled_after:
+                eventlet.sleep(60.0)
+            yield piece
+            sent += len(piece)
+
+    def _feed(self, query):
+        return self._rows.watch(
+            query["table"], int(query["after"]), int(query["wait_ms"]) / 1000
+        )
+
+    def _scan(self, query):
+        return self._rows.scan(
+            query["table"],
+            query["part"],
+            query.get("from", ""),
+            query.get("target", ""),
+            timeout_s=READ_TIMEOUT_S,
+        )
+
+
+def _written(row):
+    value = base64.b64encode(row.value).decode()
+    return {**row.ref._asdict(), "ver": row.version, "value": value}
+
+
+def _removed(ref):
+    return {**ref._asdict(), "tombstone": True}
