--- a/tests/test_platform/test_evacuation_rows.py
+++ b/tests/test_platform/test_evacuation_rows.py
@@ -4,7 +4,7 @@
 
 import eventlet
 import testtools
-from wisterialug_platform import checked_fields, config_source, store
+from wisterialug_platform import checked_fields, config_source, row_codec
 
 from tests.test_platform import test_decoding
 from wisterialug_daemon.workflow import config_watch, row_store
@@ -144,7 +144,7 @@
             row("a", 3, **written),
             row("b", 4, **removed),
         ]
-        changes = store._changes(
+        changes = row_codec.changes(
             checked_fields.Fields({"rows": rows, "ver": 4})
         )
         self.assertEqual(["a"], [row.ref.key for row in changes.rows])
