--- a/tests/test_platform/test_checked_fields.py
+++ b/tests/test_platform/test_checked_fields.py
@@ -133,7 +133,7 @@
     def __init__(self, body, status=200):
         self.answer = http_client.HttpResponse(status, {}, body)
 
-    def call(self, *_):
+    def call(self, *_, **__):
         return result.Ok(self.answer)
 
 
--- a/tests/test_platform/test_store.py
+++ b/tests/test_platform/test_store.py
@@ -30,8 +30,18 @@
         self.respond = respond
         self.calls = []
 
-    def call(self, address, method, path, body, timeout_s, headers=None):
-        del headers
+    def call(
+        self,
+        address,
+        method,
+        path,
+        body,
+        timeout_s,
+        headers=None,
+        *,
+        body_s=None,
+    ):
+        del headers, body_s
         self.calls.append((address, method, path, body))
         # urllib3 raises this for a timeout that is not positive.
         if timeout_s <= 0:
