A VM that fell behind reads the config once, not each of its versions

A feed of the store holds each change of a row. A VM that fetches a large config for a second or more, or was cut off, found the changes that came meanwhile in one answer: on a VM on a thin link had received 1,048,576 bytes of one when it gave up, where the config has 809,230. Each answer then takes longer than the one before, and later changes wait for it.

--- /dev/null
+++ b/packages/wisterialug-core/src/wisterialug_core/workflow/feed_limits.py
@@ -0,0 +1,24 @@
+"""How much of a feed is worth reading.
+
+A feed holds each change of a row, a read of the row only the latest. A large
+row that changes several times while a VM on a thin link fetches it, or is cut
+off, arrives sooner by a read.
+"""
+
+from __future__ import annotations
+
+import math
+
+# A row that has grown by half is still fetched from the feed.
+GROWTH_RATIO = 1.5
+# Small rows arrive at once, however often they have changed.
+SLACK_BYTES = 262_144
+
+
+def most_bytes(row_bytes: int) -> int:
+    """Returns the size of a feed above which the row is read instead.
+
+    Args:
+      row_bytes: Size of the latest change of the row that is known, as sent.
+    """
+    return math.ceil(row_bytes * GROWTH_RATIO) + SLACK_BYTES
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/config_watch.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/config_watch.py
@@ -69,6 +69,10 @@
                 else self._source.watch(cursor, wait_s)
             )
             if outcome.is_err():
+                if isinstance(outcome.err_value, errors.AnswerTooLargeError):
+                    logs.event("config-changed-often", cursor=cursor)
+                    cursor = -1
+                    continue
                 logs.event(
                     "config-attempt-failed",
                     way="read" if cursor < 0 else "watch",
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/errors.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/errors.py
@@ -40,6 +40,10 @@
     """Reports that changes since a version are no longer available."""
 
 
+class AnswerTooLargeError(StoreError):
+    """Reports an answer that was not read, as it exceeds the given limit."""
+
+
 class Rejection(enum.Enum):
     """Why a worker rejected an order."""
 
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/row_store.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/row_store.py
@@ -117,9 +117,21 @@
 
     @abc.abstractmethod
     def watch(
-        self, table: str, after: int, wait_s: float
+        self,
+        table: str,
+        after: int,
+        wait_s: float,
+        max_bytes: int | None = None,
     ) -> result.Result[Changes, errors.StoreError]:
-        """Waits for changes of a table after a version."""
+        """Waits for changes of a table after a version.
+
+        Args:
+          table: The table.
+          after: Version of the latest change that is known.
+          wait_s: How long to wait for a change.
+          max_bytes: A larger answer is not read, and AnswerTooLargeError is
+            returned: the store sends each change of a row. None for any size.
+        """
 
 
 def scan_row(
--- a/packages/wisterialug-standins/src/wisterialug_standins/memory_store.py
+++ b/packages/wisterialug-standins/src/wisterialug_standins/memory_store.py
@@ -55,6 +55,16 @@
         """Returns the references of all rows."""
         return list(self._rows)
 
+    def history(
+        self, table: str, after: int
+    ) -> list[tuple[int, row_store.RowRef, bytes | None]]:
+        """Returns each change of a table after a version, in order."""
+        return [
+            change
+            for change in self._log
+            if change[0] > after and change[1].table == table
+        ]
+
     def compact_history(self) -> None:
         """Drops the log of changes that watches resume from."""
         self._log.clear()
@@ -115,9 +125,15 @@
         return result.Ok(row_store.Snapshot(tuple(rows), False, self._version))
 
     def watch(
-        self, table: str, after: int, wait_s: float
+        self,
+        table: str,
+        after: int,
+        wait_s: float,
+        max_bytes: int | None = None,
     ) -> result.Result[row_store.Changes, errors.StoreError]:
         """Waits for changes of a table after a version."""
+        # Answers hold the latest change of each row only.
+        del max_bytes
         until_s = clock.now_s() + wait_s
         self._watch_count += 1
         number = self._watch_count
@@ -138,9 +154,8 @@
 
     def _changes(self, table: str, after: int) -> row_store.Changes:
         newest: dict[row_store.RowRef, tuple[int, bytes | None]] = {}
-        for version, ref, value in self._log:
-            if version > after and ref.table == table:
-                newest[ref] = (version, value)
+        for version, ref, value in self.history(table, after):
+            newest[ref] = (version, value)
         rows = tuple(
             row_store.Row(ref, version, value)
             for ref, (version, value) in newest.items()
--- a/packages/wisterialug-standins/src/wisterialug_standins/vm_links.py
+++ b/packages/wisterialug-standins/src/wisterialug_standins/vm_links.py
@@ -205,12 +205,16 @@
         )
 
     def watch(
-        self, table: str, after: int, wait_s: float
+        self,
+        table: str,
+        after: int,
+        wait_s: float,
+        max_bytes: int | None = None,
     ) -> result.Result[row_store.Changes, errors.StoreError]:
         """Waits for changes of a table after a version."""
         return _call_store(
             self._link,
-            lambda: self._store.watch(table, after, wait_s),
+            lambda: self._store.watch(table, after, wait_s, max_bytes),
             wait_s + ANSWER_TIMEOUT_S,
         )
 
--- a/tests/test_platform/test_store.py
+++ b/tests/test_platform/test_store.py
@@ -39,9 +39,9 @@
         timeout_s,
         headers=None,
         *,
-        body_s=None,
+        limits=None,
     ):
-        del headers, body_s
+        del headers, limits
         self.calls.append((address, method, path, body))
         # urllib3 raises this for a timeout that is not positive.
         if timeout_s <= 0:
--- a/tests/test_platform/test_thin_links.py
+++ b/tests/test_platform/test_thin_links.py
@@ -117,6 +117,15 @@
             eventlet.sleep(1.5)
         self.check_in_force(watch, version, acked_s)
 
+    def test_vm_that_fell_behind_does_not_fetch_each_version(self):
+        acked_s = self.write(1, 10)
+        watch = self.follow()
+        self.check_in_force(watch, 1, acked_s)
+        for version in range(2, 6):
+            eventlet.sleep(0.3)
+            acked_s = self.write(version, 3045)
+        self.check_in_force(watch, version, acked_s)
+
     def test_config_is_in_force_in_time_after_the_history_is_lost(self):
         acked_s = self.write(1, 10)
         watch = self.follow()
--- a/tests/test_platform/thin_store.py
+++ b/tests/test_platform/thin_store.py
@@ -32,6 +32,8 @@
 class ThinStore:
     """Answers scans and feeds of a store in memory.
 
+    A feed holds each change of a row, not only the latest.
+
     Attributes:
       requests: Paths of all requests.
       refusing: All requests are refused.
@@ -60,14 +62,12 @@
         if self.refusing:
             return server.json_response(start_response, 503, {})
         query = dict(urllib.parse.parse_qsl(environ["QUERY_STRING"], True))
-        outcome = self._feed(query) if "feed" in path else self._scan(query)
-        if outcome.is_err():
+        read = self._feed(query) if "feed" in path else self._scan(query)
+        if read is None:
             return server.json_response(start_response, 410, {})
-        read = outcome.ok_value
-        rows = [_written(row) for row in read.rows]
-        if "feed" in path:
-            rows += [_removed(ref) for ref in read.removed]
-        fields = {"rows": rows, "ver": read.version, "has_more": False}
+        version, changes = read
+        rows = [_entry(*change) for change in changes]
+        fields = {"rows": rows, "ver": version, "has_more": False}
         data = json.dumps(fields).encode()
         start_response("200 OK", [("Content-Length", str(len(data)))])
         return self._send(data)
@@ -81,24 +81,26 @@
             sent += len(piece)
 
     def _feed(self, query):
-        return self._rows.watch(
-            query["table"], int(query["after"]), int(query["wait_ms"]) / 1000
-        )
+        table, after = query["table"], int(query["after"])
+        outcome = self._rows.watch(table, after, int(query["wait_ms"]) / 1000)
+        if outcome.is_err():
+            return None
+        return outcome.ok_value.version, self._rows.history(table, after)
 
     def _scan(self, query):
-        return self._rows.scan(
+        snapshot = self._rows.scan(
             query["table"],
             query["part"],
             query.get("from", ""),
             query.get("target", ""),
             timeout_s=READ_TIMEOUT_S,
-        )
-
-
-def _written(row):
-    value = base64.b64encode(row.value).decode()
-    return {**row.ref._asdict(), "ver": row.version, "value": value}
+        ).ok_value
+        rows = [(row.version, row.ref, row.value) for row in snapshot.rows]
+        return snapshot.version, rows
 
 
-def _removed(ref):
-    return {**ref._asdict(), "tombstone": True}
+def _entry(version, ref, value):
+    fields = {**ref._asdict(), "ver": version}
+    if value is None:
+        return {**fields, "tombstone": True}
+    return {**fields, "value": base64.b64encode(value).decode()}
