A config of any size is read

A value of more than 2 MiB in base64, which a config of some 8,000 routes is, made the whole answer unreadable (store-answer-unreadable), so that no VM would have followed the config any more. Nothing limits the rows of operators; an answer is in memory anyway when its rows are looked at.

--- a/tests/test_platform/test_thin_links.py
+++ b/tests/test_platform/test_thin_links.py
@@ -103,6 +103,11 @@
         acked_s = self.write(2, 4445)
         self.check_in_force(watch, 2, acked_s)
 
+    def test_config_of_any_size_is_in_force(self):
+        self.store.link.bytes_per_s = 100_000_000
+        acked_s = self.write(1, 12_000)
+        self.check_in_force(self.follow(), 1, acked_s)
+
     def test_vm_that_joins_reads_a_config_that_takes_seconds(self):
         self.write(1, 4445)
         watch = self.follow()
