--- a/tests/test_platform/test_thin_links.py
+++ b/tests/test_platform/test_thin_links.py
@@ -161,6 +161,13 @@
         self.check_in_force(watch, 1, acked_s)
         self.store.stalled_after = 50_000
         acked_s = self.write(2, 1000)
-        eventlet.sleep(0.5)
-        self.store.stalled_after = None
+        self.check_in_force(watch, 2, acked_s)
+
+    def test_answer_that_pauses_is_not_begun_anew(self):
+        acked_s = self.write(1, 10)
+        watch = self.follow()
+        self.check_in_force(watch, 1, acked_s)
+        self.store.stalled_after = 700_000
+        self.store.pause_s = 1.0
+        acked_s = self.write(2, 4000)
         self.check_in_force(watch, 2, acked_s)
--- a/tests/test_platform/thin_store.py
+++ b/tests/test_platform/thin_store.py
@@ -37,8 +37,8 @@
     Attributes:
       requests: Paths of all requests.
       refusing: All requests are refused.
-      stalled_after: Bytes of a response after which nothing more is sent;
-        None while all of it is.
+      stalled_after: Bytes of a response after which it pauses; None if not.
+      pause_s: How long it pauses.
     """
 
     def __init__(self, rows, bytes_per_s):
@@ -46,6 +46,7 @@
         self.requests = []
         self.refusing = False
         self.stalled_after = None
+        self.pause_s = 60.0
         self._rows = rows
         self._server = server.WsgiServer("127.0.0.1", 0, self._answer)
 
@@ -76,7 +77,8 @@
         sent = 0
         for piece in self.link.send(data):
             if self.stalled_after is not None and sent >= self.stalled_after:
-                eventlet.sleep(60.0)
+                self.stalled_after = None
+                eventlet.sleep(self.pause_s)
             yield piece
             sent += len(piece)
 
