The list of workers is read where its feed holds more

The same class as the config's versions: a feed holds each heartbeat. An owner that fell behind fetched all entries as often as they had been written; on a thin link each answer was larger than the one before.

--- a/packages/wisterialug-core/src/wisterialug_core/workflow/feed_limits.py
+++ b/packages/wisterialug-core/src/wisterialug_core/workflow/feed_limits.py
@@ -2,7 +2,8 @@
 
 A feed holds each change of a row, a read of the row only the latest. A large
 row that changes several times while a VM on a thin link fetches it, or is cut
-off, arrives sooner by a read.
+off, arrives sooner by a read; so does a list whose rows are written again and
+again.
 """
 
 from __future__ import annotations
@@ -16,9 +17,9 @@
 
 
 def most_bytes(row_bytes: int) -> int:
-    """Returns the size of a feed above which the row is read instead.
+    """Returns the size of a feed above which its rows are read instead.
 
     Args:
-      row_bytes: Size of the latest change of the row that is known, as sent.
+      row_bytes: Size of the rows when they were last read, as sent.
     """
     return math.ceil(row_bytes * GROWTH_RATIO) + SLACK_BYTES
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/shard_feeds.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/shard_feeds.py
@@ -76,7 +76,16 @@
                 else self._registry.watch(cursor, WATCH_WAIT_S)
             )
             if outcome.is_err():
-                if isinstance(outcome.err_value, errors.HistoryLostError):
+                if isinstance(
+                    outcome.err_value,
+                    errors.HistoryLostError | errors.AnswerTooLargeError,
+                ):
+                    logs.event(
+                        "workers-read-again",
+                        shard=self._owner.rows.shard,
+                        cursor=cursor,
+                        error=type(outcome.err_value).__name__,
+                    )
                     cursor = -1
                 eventlet.sleep(RETRY_S)
                 continue
--- a/tests/test_platform/test_thin_links.py
+++ b/tests/test_platform/test_thin_links.py
@@ -13,6 +13,7 @@
 from wisterialug_platform import (  # noqa: E402
     config_source,
     http_client,
+    registry,
     relay,
     store,
 )
@@ -22,6 +23,7 @@
 from wisterialug_daemon.workflow import (  # noqa: E402
     clock,
     config_watch,
+    errors,
     row_store,
 )
 from wisterialug_standins import memory_store  # noqa: E402
@@ -171,3 +173,49 @@
         self.store.pause_s = 1.0
         acked_s = self.write(2, 4000)
         self.check_in_force(watch, 2, acked_s)
+
+
+class WorkerListTest(testtools.TestCase):
+    WORKERS = 400
+
+    def setUp(self):
+        super().setUp()
+        self.rows = memory_store.MemoryStore(random.Random(1))
+        self.store = thin_store.ThinStore(self.rows, 100_000_000)
+        self.addCleanup(self.store.close)
+        client = http_client.HttpClient()
+        self.addCleanup(client.close)
+        self.registry = registry.StoreRegistry(
+            store.PlatformStore(client, self.store.address)
+        )
+
+    def beat(self, seq):
+        """Writes the entries of all workers."""
+        for number in range(self.WORKERS):
+            entry = {
+                "service": "phonebook",
+                "address": "10.0.0.1:80",
+                "zone": "ktm-a",
+                "state": "ready",
+                "capacity": {"cpu": 32_000, "mem_mb": 128_000},
+                "labels": ["a", f"r{number // 12}"],
+                "seq": seq,
+            }
+            ref = row_store.RowRef(store.SERVERS_TABLE, "", f"i-{number:010}")
+            value = json.dumps(entry).encode()
+            self.rows.commit(row_store.Transaction(writes=((ref, value),)), 1.0)
+
+    def test_list_is_read_where_the_feed_is_larger(self):
+        self.beat(1)
+        cursor = self.registry.read().ok_value.cursor
+        self.beat(2)
+        changes = self.registry.watch(cursor, 0.1)
+        self.assertEqual(self.WORKERS, len(changes.ok_value.reports))
+        cursor = changes.ok_value.cursor
+        for seq in range(3, 13):
+            self.beat(seq)
+        outcome = self.registry.watch(cursor, 0.1)
+        self.assertIsInstance(outcome.err_value, errors.AnswerTooLargeError)
+        self.assertEqual(
+            self.WORKERS, len(self.registry.read().ok_value.reports)
+        )
