Calls to the store are relayed by VMs with wide links first

Its watch had got no answer as the store lost its history, so relays came first for a second; the relay was a VM on a thin link, which fetched a config for itself, and 436 kB took 2.7 s in place of 0.7 s (config-applied: from, body_s).

Change: VMs that have not just failed, on links of at least half the widest, come first, in an order of each VM's own; the one that responded last comes first among its like (a pure decision, relay_choice). The links are in the rows that VMs register with. Tests of the store's client name peers with their links and fix the first one, as the order is random.

--- a/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/members.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/members.py
@@ -8,6 +8,7 @@
 from google.protobuf import message
 
 from wisterialug_core.schema import workflow_pb2
+from wisterialug_core.workflow import relay_choice
 from wisterialug_daemon import logs
 from wisterialug_daemon.workflow import errors, pool, records, row_store
 
@@ -40,10 +41,10 @@
         self._store = store
         self._greenlets = pool.Greenlets()
 
-    def addresses(self) -> list[str]:
-        """Returns the addresses of the other VMs."""
+    def peers(self) -> list[relay_choice.Peer]:
+        """Returns the other VMs."""
         return [
-            f"{member.ip}:{member.port}"
+            relay_choice.Peer(f"{member.ip}:{member.port}", member.link_kbps)
             for name, member in self.by_name.items()
             if name != self._node
         ]
--- a/tests/test_platform/test_store.py
+++ b/tests/test_platform/test_store.py
@@ -9,6 +9,7 @@
 import testtools
 from wisterialug_platform import http_client, store
 
+from wisterialug_core.workflow import relay_choice
 from wisterialug_daemon.workflow import clock, errors, row_store
 
 REF = row_store.RowRef("t", "p", "k")
@@ -53,7 +54,11 @@
     def commit(self, respond, peers=("p1", "p2"), timeout_s=1.0):
         self.client = FakeClient(respond)
         self.store = store.PlatformStore(
-            self.client, "store", lambda: list(peers)
+            self.client,
+            "store",
+            lambda: [relay_choice.Peer(peer, 0) for peer in peers],
+            # Begins with the first peer.
+            random.Random(3),
         )
         return self.store.commit(CHANGE, timeout_s)
 
@@ -111,7 +116,7 @@
 
     def test_vms_begin_with_different_relays(self):
         # 40 VMs that the store turns away, with the same list of others.
-        peers = [f"p{number}" for number in range(20)]
+        peers = [relay_choice.Peer(f"p{number}", 0) for number in range(20)]
         first = collections.Counter()
         for seed in range(40):
             client = FakeClient(
--- a/tests/test_platform/test_thin_links.py
+++ b/tests/test_platform/test_thin_links.py
@@ -19,6 +19,7 @@
 )
 
 from tests.test_platform import thin_store  # noqa: E402
+from wisterialug_core.workflow import relay_choice  # noqa: E402
 from wisterialug_daemon.http import server  # noqa: E402
 from wisterialug_daemon.workflow import (  # noqa: E402
     clock,
@@ -149,7 +150,7 @@
         rows = store.PlatformStore(client, reached.address)
         peer = server.WsgiServer("127.0.0.1", 0, relay.RelayApplication(rows))
         self.addCleanup(peer.close)
-        self.peers = [f"127.0.0.1:{peer.port}"]
+        self.peers = [relay_choice.Peer(f"127.0.0.1:{peer.port}", 0)]
         self.store.refusing = True
         acked_s = self.write(1, 10)
         watch = self.follow()
@@ -191,6 +192,7 @@
 
     def beat(self, seq):
         """Writes the entries of all workers."""
+        writes = []
         for number in range(self.WORKERS):
             entry = {
                 "service": "phonebook",
@@ -202,8 +204,10 @@
                 "seq": seq,
             }
             ref = row_store.RowRef(store.SERVERS_TABLE, "", f"i-{number:010}")
-            value = json.dumps(entry).encode()
-            self.rows.commit(row_store.Transaction(writes=((ref, value),)), 1.0)
+            writes.append((ref, json.dumps(entry).encode()))
+        for start in range(0, len(writes), memory_store.MAX_ENTRIES):
+            batch = tuple(writes[start : start + memory_store.MAX_ENTRIES])
+            self.rows.commit(row_store.Transaction(writes=batch), 1.0)
 
     def test_list_is_read_where_the_feed_is_larger(self):
         self.beat(1)
