A commit of large records fits into one call to the store

A commit was bounded by rows (40, and what the last job adds), not by bytes: 40 records of 64 KiB are 3.5 MB in base64, where the platform takes 1 MB per call, and would have been sent again for ever; on a link of 5 Mbit/s a megabyte also outlasts the timeout of a write. Now a commit takes no further job from 256 KiB on; the rest follows in the next one.

test_commit_of_large_records_fits_into_one_call failed before (3,466,667 bytes) and passes.

--- a/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/shard_recorder.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/shard_recorder.py
@@ -46,7 +46,7 @@
     def take_jobs(self) -> dict[str, list[tuple[row_store.RowRef, bytes]]]:
         """Returns changed jobs with their rows, as many as one commit holds."""
         taken: dict[str, list[tuple[row_store.RowRef, bytes]]] = {}
-        count = 0
+        count = size_bytes = 0
         for job in list(self._jobs.dirty):
             taken[job] = [
                 (
@@ -56,9 +56,13 @@
                 *self._lender.take_rows(job),
             ]
             count += len(taken[job])
+            size_bytes += sum(len(value) for _, value in taken[job])
             if not self._lender.rows_are_left(job):
                 self._jobs.dirty.discard(job)
-            if count >= shard_store.FULL_COMMIT_ROWS:
+            if (
+                count >= shard_store.FULL_COMMIT_ROWS
+                or size_bytes >= shard_store.FULL_COMMIT_BYTES
+            ):
                 break
         return taken
 
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/shard_store.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/shard_store.py
@@ -29,6 +29,9 @@
 # this many rows on; the last one may add 34, the owner adds its own rows and
 # removes old ones.
 FULL_COMMIT_ROWS = 40
+# The platform accepts 1 MB per call, and a commit must arrive within its timeout
+# on a thin link. A record may take 64 KiB.
+FULL_COMMIT_BYTES = 262_144
 MAX_ROWS = 90
 
 
