--- a/packages/wisterialug-core/src/wisterialug_core/workflow/routes.py
+++ b/packages/wisterialug-core/src/wisterialug_core/workflow/routes.py
@@ -30,16 +30,23 @@
     def __init__(self, version: int, routes: tuple[Route, ...]) -> None:
         self.version = version
         self.routes = routes
-        self._by_host: dict[str, list[Route]] = {}
+        # By host, length of the prefix and prefix: a host may have thousands of
+        # routes, but their prefixes have few lengths.
+        self._by_host: dict[str, dict[int, dict[str, Route]]] = {}
         for route in routes:
-            self._by_host.setdefault(route.host, []).append(route)
-        for host_routes in self._by_host.values():
-            host_routes.sort(key=lambda route: -len(route.prefix))
+            lengths = self._by_host.setdefault(route.host, {})
+            prefixes = lengths.setdefault(len(route.prefix), {})
+            prefixes.setdefault(route.prefix, route)
+        self._by_host = {
+            host: dict(sorted(lengths.items(), reverse=True))
+            for host, lengths in self._by_host.items()
+        }
         self.by_name = {route.name: route for route in routes}
 
     def find(self, host: str, path: str) -> Route | None:
         """Returns the route with the longest prefix of a path."""
-        for route in self._by_host.get(host.lower(), ()):
-            if path.startswith(route.prefix):
+        for length, prefixes in self._by_host.get(host.lower(), {}).items():
+            route = prefixes.get(path[:length])
+            if route is not None:
                 return route
         return None
