--- a/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/config_watch.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/config_watch.py
@@ -69,21 +69,7 @@
                 else self._source.watch(cursor, wait_s)
             )
             if outcome.is_err():
-                if isinstance(outcome.err_value, errors.AnswerTooLargeError):
-                    logs.event("config-changed-often", cursor=cursor)
-                    cursor = -1
-                    continue
-                logs.event(
-                    "config-attempt-failed",
-                    way="read" if cursor < 0 else "watch",
-                    cursor=cursor,
-                    took_s=round(clock.now_s() - asked_s, 3),
-                    error=str(outcome.err_value),
-                )
-                self._set_connected(False, str(outcome.err_value))
-                if isinstance(outcome.err_value, errors.HistoryLostError):
-                    cursor = -1
-                eventlet.sleep(RETRY_S)
+                cursor = self._recover(outcome.err_value, cursor, asked_s)
                 continue
             self._set_connected(True, "")
             way = "read" if cursor < 0 else "watch"
@@ -92,6 +78,24 @@
             if outcome.ok_value.evacuations is not None:
                 self.evacuations.apply(outcome.ok_value.evacuations, asked_s)
 
+    def _recover(
+        self, error: errors.StoreError, cursor: int, asked_s: float
+    ) -> int:
+        """Logs a failed attempt and pauses; returns the next cursor."""
+        if isinstance(error, errors.AnswerTooLargeError):
+            logs.event("config-changed-often", cursor=cursor)
+            return -1
+        logs.event(
+            "config-attempt-failed",
+            way="read" if cursor < 0 else "watch",
+            cursor=cursor,
+            took_s=round(clock.now_s() - asked_s, 3),
+            error=str(error),
+        )
+        self._set_connected(False, str(error))
+        eventlet.sleep(RETRY_S)
+        return -1 if isinstance(error, errors.HistoryLostError) else cursor
+
     def _apply(self, change: sources.ConfigChange, way: str) -> None:
         table = change.table
         if table is None:
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/errors.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/errors.py
@@ -39,10 +39,16 @@
 class HistoryLostError(StoreError):
     """Reports that changes since a version are no longer available."""
 
+    def __str__(self) -> str:
+        return "the store has no changes since that version any more"
+
 
 class AnswerTooLargeError(StoreError):
     """Reports an answer that was not read, as it exceeds the given limit."""
 
+    def __str__(self) -> str:
+        return "the answer exceeds its limit and was not read"
+
 
 class Rejection(enum.Enum):
     """Why a worker rejected an order."""
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/shard_feeds.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/shard_feeds.py
@@ -84,7 +84,7 @@
                         "workers-read-again",
                         shard=self._owner.rows.shard,
                         cursor=cursor,
-                        error=type(outcome.err_value).__name__,
+                        error=str(outcome.err_value),
                     )
                     cursor = -1
                 eventlet.sleep(RETRY_S)
