--- a/tests/test_platform/test_thin_links.py
+++ b/tests/test_platform/test_thin_links.py
@@ -142,7 +142,8 @@
         self.rows.compact_history()
         self.check_in_force(watch, 2, acked_s)
 
-    def test_relayed_config_that_takes_seconds_is_in_force_in_time(self):
+    def relay_calls(self):
+        """Lets the store refuse this VM, but not one that relays its calls."""
         reached = thin_store.ThinStore(self.rows, LINK_BYTES_PER_S)
         self.addCleanup(reached.close)
         client = http_client.HttpClient()
@@ -152,12 +153,25 @@
         self.addCleanup(peer.close)
         self.peers = [relay_choice.Peer(f"127.0.0.1:{peer.port}", 0)]
         self.store.refusing = True
+        return reached
+
+    def test_relayed_config_that_takes_seconds_is_in_force_in_time(self):
+        self.relay_calls()
         acked_s = self.write(1, 10)
         watch = self.follow()
         self.check_in_force(watch, 1, acked_s)
         acked_s = self.write(2, 4445)
         self.check_in_force(watch, 2, acked_s)
 
+    def test_relayed_answer_that_is_broken_off_is_fetched_again(self):
+        reached = self.relay_calls()
+        acked_s = self.write(1, 10)
+        watch = self.follow()
+        self.check_in_force(watch, 1, acked_s)
+        reached.stalled_after = 50_000
+        acked_s = self.write(2, 1000)
+        self.check_in_force(watch, 2, acked_s)
+
     def test_answer_that_stalls_is_given_up(self):
         acked_s = self.write(1, 10)
         watch = self.follow()
