A start without an answer is waited for across restarts of its worker

A start got no answer; its worker restarted under its name, answered under the raised epoch without the run, and the run ended as lost; the task was done elsewhere and its end acknowledged. The worker restarted once more: the new incarnation knows no epoch, and the copy of the start began there before the first poll.

An incarnation that did not list the run is not counted as crashed under it. Only starts without an answer at workers that restart under their names wait.

--- a/packages/wisterialug-core/src/wisterialug_core/workflow/job_table.py
+++ b/packages/wisterialug-core/src/wisterialug_core/workflow/job_table.py
@@ -144,12 +144,13 @@
     def move_run(self, task: model.Task, worker: str) -> None:
         """Records that an active run may be on its worker's next incarnation.
 
-        Orders for it are rejected once that one has answered.
+        Orders for it are rejected once that one has answered, but not by the
+        one after that.
         """
         task.worker = worker
         task.phase = model.Phase.ADOPTED
         task.track = run_times.ProgressTrack()
-        task.orders = run_proofs.StartOrders(earlier_epoch=True)
+        task.orders = task.orders.for_next_incarnation()
         self.dirty.add(task.key.job)
 
     def mark_running(self, task: model.Task) -> None:
--- a/packages/wisterialug-core/src/wisterialug_core/workflow/run_proofs.py
+++ b/packages/wisterialug-core/src/wisterialug_core/workflow/run_proofs.py
@@ -23,7 +23,8 @@
     DEADLINE_PASSED = "start deadline passed"
     # The worker knew the run, and a later report does not list it.
     NO_LONGER_LISTED = "not in the report"
-    # The worker has answered under a higher epoch without listing the run.
+    # The worker has answered under a higher epoch without listing the run, and
+    # this owner's orders have had their time to arrive.
     EARLIER_EPOCH = "not in the report of a new owner"
     # Another incarnation answers; orders name the one that they are for.
     RESTARTED = "worker has restarted"
@@ -45,6 +46,8 @@
       confirmed_s: When a response first showed that the worker knows the run.
       stop_acked_s: When the worker acknowledged a stop.
       earlier_epoch: An earlier owner sent the orders.
+      absent: This incarnation of the worker has answered under a higher epoch
+        without listing the run, and will not begin it.
       expires_s: When the worker's clock, at its slowest, has passed the deadlines
         of the sent orders.
     """
@@ -54,6 +57,7 @@
     confirmed_s: float = 0.0
     stop_acked_s: float = 0.0
     earlier_epoch: bool = False
+    absent: bool = False
     expires_s: float = 0.0
 
     @property
@@ -61,6 +65,11 @@
         """Returns whether no order was sent for the run."""
         return not (self.deadline_ms or self.earlier_epoch)
 
+    @property
+    def may_have_begun(self) -> bool:
+        """Returns whether the worker may have begun the run."""
+        return not (self.unsent or self.absent)
+
     @property
     def awaits_absence(self) -> bool:
         """Returns whether the next report shows if a stopped run exists."""
@@ -72,6 +81,12 @@
         self.deadline_ms = max(self.deadline_ms, deadline_ms)
         self.expires_s = max(self.expires_s, expires_s)
 
+    def for_next_incarnation(self) -> StartOrders:
+        """Returns what holds for a worker that has restarted under its name."""
+        return StartOrders(
+            open=self.open, earlier_epoch=True, expires_s=self.expires_s
+        )
+
     def may_arrive(self, now_s: float) -> bool:
         """Returns whether an order without an answer may still be accepted."""
         return self.open > 0 and now_s < self.expires_s
@@ -80,8 +95,8 @@
         """Records a response which shows that the worker knows the run."""
         self.confirmed_s = self.confirmed_s or received_s
 
-    def absence(self, sent_s: float, clock_ms: int) -> Proof | None:
-        """Returns what an absent run's absence from a report proves.
+    def note_absence(self, sent_s: float, clock_ms: int) -> Proof | None:
+        """Notes that a report does not list the run; returns what that proves.
 
         Args:
           sent_s: When the report was asked for.
@@ -93,7 +108,9 @@
         if 0 < self.confirmed_s < sent_s:
             return Proof.NO_LONGER_LISTED
         if self.earlier_epoch:
-            return Proof.EARLIER_EPOCH
+            self.absent = True
+            # The worker may restart once more before the order arrives.
+            return None if self.may_arrive(sent_s) else Proof.EARLIER_EPOCH
         if 0 < self.stop_acked_s < sent_s:
             return Proof.STOP_ACKNOWLEDGED
         if 0 < self.deadline_ms < clock_ms:
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/lost_worker.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/lost_worker.py
@@ -62,7 +62,7 @@
     _log(worker, tasks, proof)
     if not worker.drained:
         shard_owner.shard_jobs.note_crash(
-            [task for task in tasks if not task.orders.unsent],
+            [task for task in tasks if task.orders.may_have_begun],
             # A worker that is only silent may be cut off.
             ambiguous=proof is not run_proofs.Proof.RESTARTED
             or _is_coincident(shard_owner, worker),
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/worker_session.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/worker_session.py
@@ -362,7 +362,7 @@
             task = self._owner.shard_jobs.task(key)
             if task is None or (task.name, task.run) in listed:
                 continue
-            proof = task.orders.absence(report.reply.sent_s, clock_ms)
+            proof = task.orders.note_absence(report.reply.sent_s, clock_ms)
             if proof is not None:
                 self._owner.end_run(task, model.RunEnd.LOST, "", proof)
 
--- a/tests/test_core/test_workflow/test_run_proofs.py
+++ b/tests/test_core/test_workflow/test_run_proofs.py
@@ -13,7 +13,7 @@
 
     def absence(self, **fields):
         orders = run_proofs.StartOrders(**fields)
-        return orders.absence(self.ASKED_S, self.CLOCK_MS)
+        return orders.note_absence(self.ASKED_S, self.CLOCK_MS)
 
     def test_run_without_any_response_may_still_begin(self):
         self.assertIsNone(self.absence(open=2))
@@ -46,10 +46,37 @@
         orders.send(6000)
         orders.send(4000)
         self.assertEqual(2, orders.open)
-        self.assertIsNone(orders.absence(self.ASKED_S, self.CLOCK_MS))
+        self.assertIsNone(orders.note_absence(self.ASKED_S, self.CLOCK_MS))
 
     def test_first_sign_of_the_run_counts(self):
         orders = run_proofs.StartOrders()
         orders.confirm(9.0)
         orders.confirm(11.0)
         self.assertEqual(9.0, orders.confirmed_s)
+
+
+class NextIncarnationTest(testtools.TestCase):
+    def orders(self):
+        """Returns orders with an open start, moved to the next incarnation."""
+        orders = run_proofs.StartOrders()
+        orders.send(deadline_ms=5000, expires_s=10.0)
+        return orders.for_next_incarnation()
+
+    def test_open_order_may_begin_on_the_incarnation_after_the_next(self):
+        orders = self.orders()
+        self.assertIsNone(orders.note_absence(9.0, 100))
+        expected = run_proofs.Proof.EARLIER_EPOCH
+        self.assertIs(expected, orders.note_absence(10.5, 1600))
+
+    def test_incarnation_without_the_run_did_not_crash_under_it(self):
+        orders = self.orders()
+        self.assertTrue(orders.may_have_begun)
+        orders.note_absence(9.0, 100)
+        self.assertFalse(orders.may_have_begun)
+        self.assertTrue(orders.for_next_incarnation().may_have_begun)
+
+    def test_answered_orders_end_with_the_next_report(self):
+        orders = run_proofs.StartOrders(deadline_ms=5000, expires_s=10.0)
+        moved = orders.for_next_incarnation()
+        expected = run_proofs.Proof.EARLIER_EPOCH
+        self.assertIs(expected, moved.note_absence(9.0, 100))
