One change of a config that grows is taken from the feed

Two changes at least double an answer, so the limit is 1.9 times the row, and 512 KiB at least. test_feed_limits has this change; it failed with the earlier limit.

--- a/packages/wisterialug-core/src/wisterialug_core/workflow/feed_limits.py
+++ b/packages/wisterialug-core/src/wisterialug_core/workflow/feed_limits.py
@@ -10,10 +10,10 @@
 
 import math
 
-# A row that has grown by half is still fetched from the feed.
-GROWTH_RATIO = 1.5
-# Small rows arrive at once, however often they have changed.
-SLACK_BYTES = 262_144
+# A row may grow in one change; two changes at least double the feed.
+GROWTH_RATIO = 1.9
+# Arrives within a second on a thin link, however many changes it holds.
+SMALL_BYTES = 524_288
 
 
 def most_bytes(row_bytes: int) -> int:
@@ -22,4 +22,4 @@
     Args:
       row_bytes: Size of the rows when they were last read, as sent.
     """
-    return math.ceil(row_bytes * GROWTH_RATIO) + SLACK_BYTES
+    return max(SMALL_BYTES, math.ceil(row_bytes * GROWTH_RATIO))
