--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,4 +1,4 @@
-"""The servers of one kind are lost while jobs for them come."""
+"""Servers that run a task are cut off, one after the other, and run on."""
 
 from __future__ import annotations
 
@@ -9,54 +9,62 @@
 from review.standins import harness
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
-SERVERS = 24
-# 3 of 24 servers, 0.125 of them, are of another kind.
-KIND = "g"
-OF_KIND = 3
-# Jobs that need this kind; their steps do not wait for each other.
-STEP = {
+SERVERS = 12
+# As in a site's troubles: node_cut, servers; one of twelve at a time.
+CUT_S = 5.5
+CUTS = 4
+# The task runs on another server for this long before that is cut off too.
+PAUSE_S = 0.6
+TASK = {
     "count": 1,
-    "cpu": 100,
-    "mem_mb": 400,
-    "estimate_ms": 60_000,
-    "requires": KIND,
+    "cpu": 1600,
+    "mem_mb": 3200,
+    "estimate_ms": 20_000,
+    "saves_progress": True,
 }
-STEPS = 4
-STEP_MS = "2000"
-JOBS = 110
-# A small site's jobs come at 6.6 a second.
-INTERVAL_S = 0.16
-OTHER = {"count": 8, "cpu": 1800, "mem_mb": 3200, "estimate_ms": 2200}
-OTHER_MS = "2200"
-OTHER_JOBS = 5
-HIGH, LOW = harness.QUEUES
+TASK_MS = "20000"
+WATCH_S = 60.0
+QUEUE = harness.QUEUES[0]
+
+
+async def cut_servers(bench: harness.Bench, job: str) -> None:
+    """Cuts off the server that runs the job's task, several times."""
+    for _ in range(CUTS):
+        while not (servers := [s for s in bench.reachable() if s.runs(job)]):
+            await asyncio.sleep(0.02)
+        await asyncio.sleep(PAUSE_S)
+        servers[0].cut_off()
+        await asyncio.sleep(CUT_S)
+        servers[0].heal()
 
 
 async def main() -> int:
     """Runs the case; returns its exit code."""
-    kinds = [KIND] * OF_KIND + ["a"] * (SERVERS - OF_KIND)
-    bench = harness.Bench(
-        pathlib.Path(__file__).parent, [16_000] * SERVERS, kinds=kinds
-    )
+    bench = harness.Bench(pathlib.Path(__file__).parent, [16_000] * SERVERS)
     try:
         await bench.start()
+        job = await bench.submit(QUEUE, TASK_MS, [TASK])
+        cuts = None
         if TROUBLE:
-            for server in bench.servers.values():
-                if KIND in server.labels:
-                    server.crash()
-        for _ in range(JOBS):
-            await bench.submit(HIGH, STEP_MS, [STEP] * STEPS)
-            await asyncio.sleep(INTERVAL_S)
-        jobs = {}
-        for _ in range(OTHER_JOBS):
-            jobs[await bench.submit(LOW, OTHER_MS, [OTHER])] = LOW
-            await asyncio.sleep(INTERVAL_S)
-        await asyncio.sleep(harness.FINISH_S)
-        starved = await bench.starved(jobs)
-        bench.record(f"LOST: {len(starved)} of {len(jobs)} jobs")
+            cuts = asyncio.create_task(cut_servers(bench, job))
+        state = ""
+        until_s = bench.now_s() + WATCH_S
+        while state not in {"failed", "completed"} and bench.now_s() < until_s:
+            await asyncio.sleep(1)
+            state = await bench.state(QUEUE, job)
+        if cuts is not None:
+            cuts.cancel()
+        failed = sum(server.failed_runs for server in bench.servers.values())
+        crashes = sum(server.crashes for server in bench.servers.values())
+        bench.record(
+            f"LOST: {job} is {state!r}; {failed} runs have failed and"
+            f" {crashes} servers have crashed"
+        )
     finally:
         await bench.stop()
-    return harness.BROKEN if starved else harness.HELD
+    if state == "failed" and not failed and not crashes:
+        return harness.BROKEN
+    return harness.HELD
 
 
 if __name__ == "__main__":
--- a/review/standins/servers.py
+++ b/review/standins/servers.py
@@ -24,6 +24,8 @@
 CHECKPOINT_S = 0.5
 MAX_LISTED = 500
 MAX_WAIT_MS = 2000
+# A call without an answer may be carried out this much later.
+LATEST_S = 12.0
 SILENT_BEATS = 3
 
 
@@ -53,6 +55,7 @@
 
     Attributes:
       running: Its runs, by task.
+      holds_next_start: The next start gets no answer, and is carried out late.
       failed_runs: Runs that have ended as failed.
       crashes: How often it has crashed.
     """
@@ -84,6 +87,9 @@
         self._slowdown = slowdown
         self._http = http_server.Server(*address, self._handle)
         self._up = False
+        self.holds_next_start = False
+        # A start that is carried out late.
+        self._held_start: dict[str, Any] | None = None
         self.failed_runs = 0
         self.crashes = 0
         self._tasks: list[asyncio.Task[None]] = []
@@ -98,6 +104,8 @@
         self._beats = 0
         self._ended_runs: dict[str, int] = {}
         self._finished: list[list[Any]] = []
+        # Tasks that have ended as done, with the lease held until the ack.
+        self._acked: set[str] = set()
         self._new_end = asyncio.Event()
         self.running: dict[str, Run] = {}
 
@@ -130,8 +138,12 @@
         """Returns whether a task of a job runs here."""
         return any(task.split(".")[0] == job for task in self.running)
 
+    def has_acked(self, task: str) -> bool:
+        """Returns whether the end of a task is taken note of."""
+        return task in self._acked
+
     async def start(self) -> None:
-        """Starts the server, or starts it again after a crash."""
+        """Starts the server, or starts it again, under its id, after a crash."""
         self._reset()
         self._up = True
         await self._http.start()
@@ -228,6 +240,8 @@
             return self._reject("fence")
         self._fence = token
         if request.target == "/run-start":
+            if self.holds_next_start:
+                return await self._hold_start(fields)
             return self._start_run(fields)
         if request.target == "/run-stop":
             return self._stop_run(fields)
@@ -268,6 +282,26 @@
         self._record(f"start {task} run {number} on {self.name}")
         return self._answer()
 
+    async def _hold_start(self, fields: dict[str, Any]) -> http_server.Response:
+        self.holds_next_start = False
+        self._held_start = fields
+        self._record(f"unanswered start {fields['task']} on {self.name}")
+        await asyncio.sleep(LATEST_S)
+        raise ConnectionResetError
+
+    def carry_out_late(self) -> None:
+        """Carries the held start out, in the present life of the server."""
+        fields, self._held_start = self._held_start, None
+        if fields is None:
+            return
+        self._record(f"late start {fields['task']} on {self.name}")
+        if fields["fencing_token"] < self._fence:
+            self._record("the late start is rejected: fence")
+            return
+        self._fence = fields["fencing_token"]
+        response = self._start_run(fields)
+        self._record(f"the late start gets {response.status}")
+
     def _stop_run(self, fields: dict[str, Any]) -> http_server.Response:
         task, number = fields["task"], fields["run"]
         run = self.running.get(task)
@@ -282,6 +316,10 @@
         if "deadline_ms" in fields:
             self._extend(fields["deadline_ms"])
         acked = fields.get("ack_seq", 0)
+        for number, task, run, how, _ in self._finished:
+            if number <= acked and how == "done":
+                self._acked.add(task)
+                self._record(f"acknowledged {task} run {run} on {self.name}")
         self._finished = [end for end in self._finished if end[0] > acked]
         wait_ms = min(MAX_WAIT_MS, fields.get("wait_ms", 0))
         if wait_ms and not self._finished:
