--- a/review/standins/servers.py
+++ b/review/standins/servers.py
@@ -106,6 +106,8 @@
         self._finished: list[list[Any]] = []
         # Tasks that have ended as done, with the lease held until the ack.
         self._acked: set[str] = set()
+        # Up to this number, the lease lapsed before an end was taken note of.
+        self._lapsed_seq = 0
         self._new_end = asyncio.Event()
         self.running: dict[str, Run] = {}
 
@@ -209,7 +211,9 @@
         while True:
             await asyncio.sleep(0.01)
             now_s = time.monotonic()
-            if self.running and self._clock_ms() > self._deadline_ms:
+            if self._clock_ms() > self._deadline_ms:
+                # Ends that are listed, and not taken note of, never count.
+                self._lapsed_seq = self._seq
                 for run in list(self.running.values()):
                     self._end(run, "lapsed")
             for run in list(self.running.values()):
@@ -317,7 +321,7 @@
             self._extend(fields["deadline_ms"])
         acked = fields.get("ack_seq", 0)
         for number, task, run, how, _ in self._finished:
-            if number <= acked and how == "done":
+            if self._lapsed_seq < number <= acked and how == "done":
                 self._acked.add(task)
                 self._record(f"acknowledged {task} run {run} on {self.name}")
         self._finished = [end for end in self._finished if end[0] > acked]
