--- a/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/lost_worker.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/lost_worker.py
@@ -41,6 +41,14 @@
         # The end of one member of a gang may have ended another.
         if task.worker == worker.report.id:
             shard_owner.end_run(task, model.RunEnd.LOST, "", proof)
+    held = [task.name for task in tasks if task.crash_evidence.held]
+    if held:
+        logs.event(
+            "tasks-held",
+            worker=worker.report.id,
+            tasks=held[:MAX_LOGGED_RUNS],
+            count=len(held),
+        )
     for task in guilty:
         give_up(shard_owner, task)
 
@@ -65,7 +73,7 @@
     """Records a crash or a loss of a worker; returns tasks to give up."""
     if not tasks:
         return []
-    _log(worker, tasks, proof)
+    _log(shard_owner, worker, tasks, proof)
     begun = [task for task in tasks if task.orders.may_have_begun]
     if worker.drained:
         return []
@@ -132,6 +140,7 @@
 
 
 def _log(
+    shard_owner: owner.ShardOwner,
     worker: worker_table.Worker,
     tasks: list[model.Task],
     proof: run_proofs.Proof,
@@ -145,13 +154,16 @@
         why=proof.value,
         state=worker.report.state.value,
         silent_s=round(now_s - silent_since_s, 3),
+        # False if the bound was that of leases which earlier owners granted.
+        heard=worker.fenced,
+        owned_s=round(now_s - shard_owner.acquired_s, 3),
         runs=len(tasks),
         latest=[
             {
                 "task": task.name,
                 "run": task.run,
                 "phase": task.phase.value,
-                "age_s": round(silent_since_s - task.phase_since_s, 3),
+                "age_s": _age_s(task, silent_since_s),
                 "crashes": task.crash_evidence.crashes,
                 "open_losses": len(task.crash_evidence.open_losses),
                 "unshared": task.crash_evidence.unshared_crashes,
@@ -160,3 +172,10 @@
             for task in latest[:MAX_LOGGED_RUNS]
         ],
     )
+
+
+def _age_s(task: model.Task, now_s: float) -> float | None:
+    """Returns how long a run has been in its phase; None if it was adopted."""
+    if not task.phase_since_s:
+        return None
+    return round(now_s - task.phase_since_s, 3)
