Leases end with the horizon of a renewal, so that a new owner waits 6 s

Cause: a new owner that can't reach a worker waited for 8 s and a lease from its own takeover, since an earlier owner may have granted leases for 8 s after its last change: the class is a wait whose length and beginning ignore what the rule allows, and begin anew with each takeover.

Now no lease ends later than 6 s after its owner's last renewal; an owner that can't renew shortens them. A new owner counts from when it first saw that renewal, not from its claim. Renewals that a conflict shows count from their first attempt: a candidate may have seen them before the later one. Silent workers are looked at each 0.1 s, not after a poll's time-out, and polls are short while renewals are late, so that leases are extended soon after an outage.

--- a/packages/wisterialug-core/src/wisterialug_core/workflow/leases.py
+++ b/packages/wisterialug-core/src/wisterialug_core/workflow/leases.py
@@ -6,20 +6,32 @@
 
 # Lowest rate of a worker's clock to the owner's, as the platform specifies.
 MIN_CLOCK_RATE = 0.98
-# Without a successful commit for this long, leases are not extended: a new
-# owner presumes unreachable workers' runs lost after this time and one lease.
-MAX_UNCONFIRMED_S = 8.0
+# No lease ends later than this after its owner's last renewal. A new owner waits
+# for that long for the runs of workers that it can't reach; an outage of the
+# store that is longer ends all runs.
+HORIZON_S = 6.0
+# Longest time that a call for an ended incarnation may be under way.
+MAX_CALL_DELAY_S = 8.0
 
 
-def earlier_expiry_s(acquired_s: float, length_ms: int) -> float:
+def earlier_expiry_s(renewal_seen_s: float) -> float:
     """Returns when all leases of earlier owners have surely expired.
 
     Args:
-      acquired_s: When this owner had acquired the shard.
-      length_ms: Longest lease that any owner grants.
+      renewal_seen_s: When this process first saw the last renewal before its
+        own claim.
     """
-    lease_s = length_ms / 1000 / MIN_CLOCK_RATE
-    return acquired_s + MAX_UNCONFIRMED_S + lease_s
+    return renewal_seen_s + HORIZON_S / MIN_CLOCK_RATE
+
+
+def reborn_expiry_s(reborn_s: float, length_ms: int) -> float:
+    """Returns when leases by calls for an earlier incarnation have expired.
+
+    Args:
+      reborn_s: When the next incarnation was first known.
+      length_ms: Longest lease that a worker holds.
+    """
+    return reborn_s + MAX_CALL_DELAY_S + length_ms / 1000 / MIN_CLOCK_RATE
 
 
 def order_expiry_s(sent_s: float, length_ms: int) -> float:
@@ -56,32 +68,33 @@
             self.clock_received_s = received_s
 
     def grant(
-        self, now_s: float, confirmed_s: float, length_ms: int
+        self, now_s: float, renewed_s: float, length_ms: int
     ) -> int | None:
         """Returns a new lease deadline.
 
-        The deadline is at most `length_ms` after the worker's time at `now_s`.
-        A new owner relies on it: from the worker's clock in its first response,
-        or from when it acquired the shard, it knows when all leases of earlier
-        owners have expired. So one reading of the clock decides both whether
+        The deadline is at most `length_ms` after the worker's time at `now_s`,
+        and at most `HORIZON_S` after the last renewal. A new owner relies on
+        both: from the worker's clock in its first response, or from the renewal,
+        it knows when all leases of earlier owners have expired. So one reading of the clock decides both whether
         there is a lease and when it ends; the process may be suspended between
         two readings.
 
         Args:
           now_s: Present time.
-          confirmed_s: When the ownership of the shard was last confirmed.
+          renewed_s: When the last renewal of the ownership was sent.
           length_ms: Length of the lease.
 
         Returns:
           The deadline, or None before the worker's first response and if a new
-          owner may not wait for the lease.
+          owner would not wait for the lease.
         """
-        if self.clock_ms < 0 or now_s - confirmed_s >= MAX_UNCONFIRMED_S:
+        left_ms = (renewed_s + HORIZON_S - now_s) * 1000
+        if self.clock_ms < 0 or left_ms <= 0:
             return None
         # A lower bound of the clock. It was read before the response arrived,
         # seconds after the call was sent if the worker waited for an end.
         elapsed_ms = (now_s - self.clock_received_s) * 1000 * MIN_CLOCK_RATE
-        deadline_ms = int(self.clock_ms + elapsed_ms + length_ms)
+        deadline_ms = int(self.clock_ms + elapsed_ms + min(length_ms, left_ms))
         self.deadline_ms = max(self.deadline_ms, deadline_ms)
         return deadline_ms
 
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/dispatcher.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/dispatcher.py
@@ -136,7 +136,7 @@
             sent_s = clock.now_s()
             deadline_ms = worker.lease.grant(
                 sent_s,
-                self._owner.rows.confirmed_s,
+                self._owner.rows.renewed_s,
                 self._owner.cfg.lease_ms,
             )
             if entry.final or deadline_ms is None:
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/election.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/election.py
@@ -305,6 +305,7 @@
         )
         before = shard.ownership.owner
         sent_s = clock.now_s()
+        seen_s = shard.changed_s or sent_s
         silent_s = sent_s - shard.changed_s if shard.changed_s else -1
         outcome = self._store.commit(
             row_store.Transaction(
@@ -336,7 +337,7 @@
         shard.version = outcome.ok_value
         shard.changed_s = clock.now_s()
         rows = shard_store.ShardStore(
-            self._store, name, ownership, outcome.ok_value, sent_s
+            self._store, name, ownership, outcome.ok_value, sent_s, seen_s
         )
         shard_owner = owner.ShardOwner(
             self._cfg,
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/lost_worker.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/lost_worker.py
@@ -112,15 +112,23 @@
         expiry_s = worker.lease.latest_expiry_s()
     elif worker.reborn_s:
         # Calls for an earlier incarnation count by the clock of this one.
-        expiry_s = leases.earlier_expiry_s(
-            worker.reborn_s, cfg.longest_lease_ms
-        )
+        expiry_s = leases.reborn_expiry_s(worker.reborn_s, cfg.longest_lease_ms)
     else:
-        expiry_s = leases.earlier_expiry_s(shard_owner.acquired_s, cfg.lease_ms)
+        expiry_s = leases.earlier_expiry_s(shard_owner.rows.renewal_seen_s)
     if clock.now_s() > expiry_s:
         end_runs(shard_owner, worker, run_proofs.Proof.LEASE_EXPIRED)
 
 
+def check_silent(shard_owner: owner.ShardOwner) -> None:
+    """Ends the runs of silent workers as soon as their leases have expired.
+
+    Their sessions wait for a response most of the time.
+    """
+    for worker in list(shard_owner.shard_workers.workers.values()):
+        if worker.runs and worker.silent_since_s and not worker.gone:
+            check_expiry(shard_owner, worker)
+
+
 def give_up(shard_owner: owner.ShardOwner, task: model.Task) -> None:
     """Fails the job of a task that crashes its workers."""
     evidence = task.crash_evidence
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/owner.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/owner.py
@@ -23,6 +23,7 @@
     dispatcher,
     lender,
     loss_watch,
+    lost_worker,
     owner_logs,
     pool,
     shard_contents,
@@ -55,6 +56,8 @@
 
 # Interval of ownership renewals; candidates take over after three missed ones.
 RENEWAL_INTERVAL_S = 0.5
+# Interval of looks at silent workers' leases.
+EXPIRY_INTERVAL_S = 0.1
 # Events trigger a scheduling cycle at once.
 MAX_CYCLE_INTERVAL_S = 0.25
 # Pause after each commit, so that run ends are committed in batches.
@@ -118,6 +121,7 @@
         self._pending: list[task_placement.Placement] = []
         self._wake = eventlet.event.Event()
         self._stopping = False
+        self._expiry_checked_s = 0.0
 
     # State for the worker sessions and the dispatcher.
 
@@ -280,6 +284,9 @@
             self._release()
             return
         self.evacuations.apply(now_s)
+        if now_s - self._expiry_checked_s >= EXPIRY_INTERVAL_S:
+            self._expiry_checked_s = now_s
+            lost_worker.check_silent(self)
         self._losses.settle()
         if self._feeds.registry_seen:
             self._pending += step_placement.plan(
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/shard_store.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/shard_store.py
@@ -75,7 +75,10 @@
     Attributes:
       epoch: Fencing token of this owner, as recorded.
       next_epoch: The one that the next renewal records.
-      confirmed_s: When the last successful change was sent.
+      renewed_s: When the last renewal was sent, at the latest; leases are
+        granted by it.
+      renewal_seen_s: When the last renewal of the owner before was first seen
+        here, or later.
     """
 
     def __init__(
@@ -85,14 +88,15 @@
         ownership: workflow_pb2.Ownership,
         version: int,
         sent_s: float,
+        renewal_seen_s: float,
     ) -> None:
         self._store = store
         self.shard = shard
         self.ownership = ownership
         self.epoch = ownership.epoch
         self.next_epoch = ownership.epoch
-        self.confirmed_s = sent_s
         self.renewed_s = sent_s
+        self.renewal_seen_s = renewal_seen_s
         self._owner_version = version
         self._mark_version = 0
         self._changes = 0
@@ -193,9 +197,10 @@
             removes=tuple(removes),
         )
         pause_s = FIRST_RETRY_S
-        failing_since_s = 0.0
+        first_sent_s = failing_since_s = 0.0
         while should_continue():
             sent_s = clock.now_s()
+            first_sent_s = first_sent_s or sent_s
             outcome = self._store.commit(transaction, COMMIT_TIMEOUT_S)
             version = self._committed_version(
                 outcome, mark, renews=renewal is not None
@@ -203,7 +208,9 @@
             if version is not None:
                 if version < 0:
                     return result.Err(OwnershipLostError())
-                self._confirm_change(version, renewal, sent_s, failing_since_s)
+                # Where a conflict shows the mark, an earlier attempt was made.
+                made_s = sent_s if outcome.is_ok() else first_sent_s
+                self._confirm_change(version, renewal, made_s, failing_since_s)
                 return result.Ok(version)
             if isinstance(outcome.err_value, errors.StoreRejectedError):
                 return outcome
@@ -258,7 +265,6 @@
         failing_since_s: float,
     ) -> None:
         self._mark_version = version
-        self.confirmed_s = sent_s
         if renewal is not None:
             self._owner_version = version
             self.ownership = renewal
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/worker_session.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/worker_session.py
@@ -22,6 +22,7 @@
     lost_worker,
     owner_logs,
     run_health,
+    stray_stops,
     succession,
     worker_calls,
 )
@@ -53,6 +54,9 @@
 DRAINING_LEASE_MS = 1500
 # For draining workers and fill runs that may interfere: both need fast action.
 SHORT_POLL_MS = 450
+# Without a renewal for this long, leases are shortened: polls are short, so that
+# they are extended soon after the next one.
+LATE_RENEWAL_S = 1.0
 # A worker lists at most this many run ends in one report.
 MAX_LISTED_ENDS = 500
 
@@ -182,6 +186,7 @@
                 or suspected
                 or self._strays.listed
                 or self.pacing.may_interfere()
+                or clock.now_s() - self._owner.rows.renewed_s > LATE_RENEWAL_S
             ):
                 wait_ms = SHORT_POLL_MS
         acked_seq = 0
@@ -235,8 +240,8 @@
         length_ms = self._owner.cfg.lease_ms
         if worker.report.state is model.WorkerState.DRAINING:
             length_ms = DRAINING_LEASE_MS
-        confirmed_s = self._owner.rows.confirmed_s
-        return worker.lease.grant(now_s, confirmed_s, length_ms)
+        renewed_s = self._owner.rows.renewed_s
+        return worker.lease.grant(now_s, renewed_s, length_ms)
 
     def _handle_report(
         self, report: worker_calls.RunReport, clock_ms: int
@@ -275,9 +280,10 @@
         self.pacing.adjust(report)
 
     def _update_running(self, report: worker_calls.RunReport) -> None:
+        worker = self.worker
         strays = []
         for run in report.running:
-            task = self._owner.active_run(self.worker, run.task, run.run)
+            task = self._owner.active_run(worker, run.task, run.run)
             if task is None:
                 strays.append(stray_runs.ListedRun(run.task, run.run))
                 continue
@@ -292,7 +298,9 @@
                 self._owner.wake()
             run_health.check_progress(self._owner, self, task, run, report)
         for stray in self._strays.record(strays):
-            self._owner.greenlets.spawn(self._stop_stray, stray)
+            self._owner.greenlets.spawn(
+                stray_stops.stop, self._owner, worker, self._strays, stray
+            )
 
     def _note_survival(self, task: model.Task, now_s: float) -> None:
         was_suspect = task.crash_evidence.suspect
@@ -301,24 +309,6 @@
             # Its worker takes other runs again.
             self._owner.wake()
 
-    def _stop_stray(self, stray: stray_runs.ListedRun) -> None:
-        """Stops a stray run; one that is listed after that is stopped again."""
-        logs.event(
-            "stray-stop-ordered",
-            task=stray.task,
-            run=stray.run,
-            worker=self.worker.report.id,
-        )
-        try:
-            self._owner.calls.stop(
-                self.worker.report,
-                *stray,
-                self._owner.epoch_for(self.worker),
-                RESPONSE_TIMEOUT_S,
-            )
-        finally:
-            self._strays.end_stop(stray)
-
     def _process_ends(self, report: worker_calls.RunReport) -> None:
         for ended in report.ended:
             if ended.seq <= self._acks.highest_seq:
