Renewals list the silent workers, so that the next owner goes on with the wait

Cause: what an owner had found out of a silent worker was gone with it; the next one waited for the longest time, from the beginning.

Now each renewal, the claim included, lists the silent workers that have runs, with the time until their last lease has expired. In return an owner grants nothing to a worker while a renewal that may be in force lists it; one that answers again causes a renewal at once.

--- a/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/dispatcher.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/dispatcher.py
@@ -134,11 +134,13 @@
                 return
             entry = self._owner.shard_jobs.jobs[task.key.job]
             sent_s = clock.now_s()
-            deadline_ms = worker.lease.grant(
-                sent_s,
-                self._owner.rows.renewed_s,
-                self._owner.cfg.lease_ms,
-            )
+            deadline_ms = None
+            if worker.report.id not in self._owner.rows.withheld:
+                deadline_ms = worker.lease.grant(
+                    sent_s,
+                    self._owner.rows.renewed_s,
+                    self._owner.cfg.lease_ms,
+                )
             if entry.final or deadline_ms is None:
                 self._abandon(start, "no longer needed, or no lease")
                 return
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/election.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/election.py
@@ -10,7 +10,11 @@
 import eventlet.event
 
 from wisterialug_core.schema import workflow_pb2
-from wisterialug_core.workflow import evacuations, ownership
+from wisterialug_core.workflow import (
+    awaited_workers,
+    evacuations,
+    ownership,
+)
 from wisterialug_daemon import logs, metrics
 from wisterialug_daemon.workflow import (
     clock,
@@ -297,15 +301,18 @@
                 )
 
     def _claim(self, name: str, shard: shard_view.ShardView) -> None:
+        before = shard.ownership.owner
+        sent_s = clock.now_s()
+        earlier = awaited_workers.EarlierLeases(
+            shard.changed_s or sent_s, shard.ownership.awaited
+        )
         ownership = workflow_pb2.Ownership(
             owner=self._cfg.owner_id,
             epoch=shard.ownership.epoch + 1,
             renewal=1,
             waiting=shard.ownership.waiting,
+            awaited=earlier.left(sent_s),
         )
-        before = shard.ownership.owner
-        sent_s = clock.now_s()
-        seen_s = shard.changed_s or sent_s
         silent_s = sent_s - shard.changed_s if shard.changed_s else -1
         outcome = self._store.commit(
             row_store.Transaction(
@@ -337,7 +344,7 @@
         shard.version = outcome.ok_value
         shard.changed_s = clock.now_s()
         rows = shard_store.ShardStore(
-            self._store, name, ownership, outcome.ok_value, sent_s, seen_s
+            self._store, name, ownership, outcome.ok_value, sent_s, earlier
         )
         shard_owner = owner.ShardOwner(
             self._cfg,
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/lost_worker.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/lost_worker.py
@@ -10,6 +10,7 @@
 from typing import TYPE_CHECKING
 
 from wisterialug_core.workflow import (
+    awaited_workers,
     crash_evidence,
     leases,
     model,
@@ -107,14 +108,13 @@
     shard_owner: owner.ShardOwner, worker: worker_table.Worker
 ) -> None:
     """Ends the runs of a worker whose lease has surely expired."""
-    cfg = shard_owner.cfg
-    if worker.fenced:
-        expiry_s = worker.lease.latest_expiry_s()
-    elif worker.reborn_s:
+    if worker.reborn_s and not worker.fenced:
         # Calls for an earlier incarnation count by the clock of this one.
-        expiry_s = leases.reborn_expiry_s(worker.reborn_s, cfg.longest_lease_ms)
+        expiry_s = leases.reborn_expiry_s(
+            worker.reborn_s, shard_owner.cfg.longest_lease_ms
+        )
     else:
-        expiry_s = leases.earlier_expiry_s(shard_owner.rows.renewal_seen_s)
+        expiry_s = awaited_workers.expiry_of(worker, shard_owner.rows.earlier)
     if clock.now_s() > expiry_s:
         end_runs(shard_owner, worker, run_proofs.Proof.LEASE_EXPIRED)
 
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/owner.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/owner.py
@@ -122,6 +122,7 @@
         self._wake = eventlet.event.Event()
         self._stopping = False
         self._expiry_checked_s = 0.0
+        self._renewal_wanted = False
 
     # State for the worker sessions and the dispatcher.
 
@@ -143,6 +144,11 @@
         self.wake()
         return self.rows.next_epoch
 
+    def renew_soon(self) -> None:
+        """Renews the ownership in the next scheduling cycle."""
+        self._renewal_wanted = True
+        self.wake()
+
     def wake(self) -> None:
         """Triggers the next scheduling cycle at once."""
         if not self._wake.ready():
@@ -304,8 +310,10 @@
         renewal_due = (
             now_s - self.rows.renewed_s >= RENEWAL_INTERVAL_S
             or self.rows.next_epoch > self.rows.epoch
+            or self._renewal_wanted
         )
         if self.shard_jobs.dirty or renewal_due:
+            self._renewal_wanted = False
             self._commit(renewal_due)
             eventlet.sleep(COMMIT_SPACING_S)
         if renewal_due:
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/shard_recorder.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/shard_recorder.py
@@ -7,7 +7,12 @@
 import result
 
 from wisterialug_core.schema import workflow_pb2
-from wisterialug_core.workflow import learned_record, lending, work_ahead
+from wisterialug_core.workflow import (
+    awaited_workers,
+    learned_record,
+    lending,
+    work_ahead,
+)
 from wisterialug_daemon import logs, metrics
 from wisterialug_daemon.workflow import (
     clock,
@@ -189,7 +194,7 @@
         spare = lending.spare_capacity(
             self._jobs, workers, now_s, now_ms, self._owner.waits.chosen
         )
-        return workflow_pb2.Ownership(
+        renewal = workflow_pb2.Ownership(
             owner=self._owner.cfg.owner_id,
             epoch=self._rows.next_epoch,
             renewal=self._rows.ownership.renewal + 1,
@@ -203,7 +208,12 @@
             services=work_ahead.service_loads(
                 self._jobs, workers, self._owner.durations, now_ms
             ),
+            awaited=awaited_workers.awaited(
+                workers.workers.values(), self._rows.earlier, now_s
+            ),
         )
+        self._rows.withheld.send(renewal)
+        return renewal
 
     def _prunable(self, limit: int) -> list[row_store.RowRef]:
         """Returns rows of ended jobs whose retention period has passed."""
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/shard_store.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/shard_store.py
@@ -13,6 +13,7 @@
 import result
 
 from wisterialug_core.schema import workflow_pb2
+from wisterialug_core.workflow import awaited_workers
 from wisterialug_daemon import logs
 from wisterialug_daemon.workflow import clock, errors, records, row_store
 
@@ -77,8 +78,8 @@
       next_epoch: The one that the next renewal records.
       renewed_s: When the last renewal was sent, at the latest; leases are
         granted by it.
-      renewal_seen_s: When the last renewal of the owner before was first seen
-        here, or later.
+      earlier: When leases of earlier owners have expired.
+      withheld: Workers to which no lease may be granted.
     """
 
     def __init__(
@@ -88,7 +89,7 @@
         ownership: workflow_pb2.Ownership,
         version: int,
         sent_s: float,
-        renewal_seen_s: float,
+        earlier: awaited_workers.EarlierLeases,
     ) -> None:
         self._store = store
         self.shard = shard
@@ -96,7 +97,8 @@
         self.epoch = ownership.epoch
         self.next_epoch = ownership.epoch
         self.renewed_s = sent_s
-        self.renewal_seen_s = renewal_seen_s
+        self.earlier = earlier
+        self.withheld = awaited_workers.Withheld(ownership)
         self._owner_version = version
         self._mark_version = 0
         self._changes = 0
@@ -268,6 +270,7 @@
         if renewal is not None:
             self._owner_version = version
             self.ownership = renewal
+            self.withheld.record(renewal)
             self.epoch = renewal.epoch
             self.renewed_s = sent_s
         if failing_since_s:
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/worker_session.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/worker_session.py
@@ -9,6 +9,7 @@
 import eventlet.event
 
 from wisterialug_core.workflow import (
+    awaited_workers,
     end_acks,
     model,
     run_proofs,
@@ -37,9 +38,6 @@
 # poll extends the lease.
 LONG_POLL_MS = 1000
 RESPONSE_TIMEOUT_S = 0.8
-# Silence after which the lease is no longer extended: if only the responses are
-# lost, it would never expire.
-MAX_SILENCE_S = 1.2
 RETRY_INTERVAL_S = 0.25
 EPOCH_WAIT_S = 0.02
 # Interval of polls while an end is listed that is not acknowledged yet.
@@ -233,7 +231,8 @@
         if (
             not (worker.runs or self._acks.awaits_orders(now_s))
             or not worker.fenced
-            or self._silent_s() > MAX_SILENCE_S
+            or awaited_workers.is_silent(worker, now_s)
+            or worker.report.id in self._owner.rows.withheld
             or self._owner.lost
         ):
             return None
@@ -277,6 +276,8 @@
                 worker.lease.deadline_ms, reply.clock_ms + lease_ms
             )
             self._owner.wake()
+        if worker.report.id in self._owner.rows.withheld:
+            self._owner.renew_soon()
         self.pacing.adjust(report)
 
     def _update_running(self, report: worker_calls.RunReport) -> None:
--- a/tests/test_daemon/test_shard_store.py
+++ b/tests/test_daemon/test_shard_store.py
@@ -6,6 +6,7 @@
 import testtools
 
 from wisterialug_core.schema import workflow_pb2
+from wisterialug_core.workflow import awaited_workers
 from wisterialug_daemon.workflow import (
     clock,
     records,
@@ -50,7 +51,7 @@
             self.ownership(1),
             version,
             clock.now_s(),
-            clock.now_s(),
+            awaited_workers.EarlierLeases(clock.now_s()),
         )
 
     def ownership(self, epoch):
--- a/tests/test_daemon/test_succession.py
+++ b/tests/test_daemon/test_succession.py
@@ -7,8 +7,8 @@
 
 from tests.test_daemon import workflow_base
 from wisterialug_core.schema import workflow_pb2
-from wisterialug_core.workflow import model
-from wisterialug_daemon.workflow import records, row_store
+from wisterialug_core.workflow import awaited_workers, model
+from wisterialug_daemon.workflow import clock, records, row_store
 from wisterialug_standins import order_faults
 
 step = workflow_base.step
@@ -104,7 +104,9 @@
         self.start_fleet()
         shard_owner = self.nodes["n0"].election._owned["s0"]
         # Leases of earlier owners have long expired.
-        shard_owner.rows.renewal_seen_s -= 60
+        shard_owner.rows.earlier = awaited_workers.EarlierLeases(
+            clock.now_s() - 60
+        )
         self.fleet.order_delay_s = (1.0, 1.0)
         self.fleet.next_start_faults.extend([Fault.LATE, Fault.LOST])
         job = self.submit(step(1))
