Runs with answered starts end with their incarnation, though the next is silent

Cause: all of its runs waited for how late a start may be carried out, and then for the longest lease, though only a start without an answer can reach the next incarnation.

Now runs whose starts were all answered to this owner by the incarnation that has ended are over at once. Others wait as before.

--- a/packages/wisterialug-core/src/wisterialug_core/workflow/run_proofs.py
+++ b/packages/wisterialug-core/src/wisterialug_core/workflow/run_proofs.py
@@ -45,7 +45,10 @@
         if none was sent.
       confirmed_s: When a response first showed that the worker knows the run.
       stop_acked_s: When the worker acknowledged a stop.
-      earlier_epoch: An earlier owner sent the orders.
+      earlier_epoch: An earlier owner sent the orders, or they were sent to an
+        earlier incarnation of the worker.
+      answered: Every order was answered by the incarnation that it was sent to,
+        which has ended: no order arrives at the next one.
       absent: This incarnation of the worker has answered under a higher epoch
         without listing the run, and will not begin it.
       expires_s: When the worker's clock, at its slowest, has passed the deadlines
@@ -57,6 +60,7 @@
     confirmed_s: float = 0.0
     stop_acked_s: float = 0.0
     earlier_epoch: bool = False
+    answered: bool = False
     absent: bool = False
     expires_s: float = 0.0
 
@@ -84,7 +88,11 @@
     def for_next_incarnation(self) -> StartOrders:
         """Returns what holds for a worker that has restarted under its name."""
         return StartOrders(
-            open=self.open, earlier_epoch=True, expires_s=self.expires_s
+            open=self.open,
+            earlier_epoch=True,
+            answered=self.answered
+            or bool(self.deadline_ms and self.confirmed_s and not self.open),
+            expires_s=self.expires_s,
         )
 
     def may_arrive(self, now_s: float) -> bool:
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/lost_worker.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/lost_worker.py
@@ -109,6 +109,7 @@
 ) -> None:
     """Ends the runs of a worker whose lease has surely expired."""
     if worker.reborn_s and not worker.fenced:
+        _end_answered(shard_owner, worker)
         # Calls for an earlier incarnation count by the clock of this one.
         expiry_s = leases.reborn_expiry_s(
             worker.reborn_s, shard_owner.cfg.longest_lease_ms
@@ -119,6 +120,17 @@
         end_runs(shard_owner, worker, run_proofs.Proof.LEASE_EXPIRED)
 
 
+def _end_answered(
+    shard_owner: owner.ShardOwner, worker: worker_table.Worker
+) -> None:
+    """Ends runs that a silent worker's next incarnation can't begin."""
+    for task in active_tasks(shard_owner, worker):
+        if task.orders.answered and task.worker == worker.report.id:
+            shard_owner.end_run(
+                task, model.RunEnd.LOST, "", run_proofs.Proof.RESTARTED
+            )
+
+
 def check_silent(shard_owner: owner.ShardOwner) -> None:
     """Ends the runs of silent workers as soon as their leases have expired.
 
--- a/tests/test_core/test_workflow/test_run_proofs.py
+++ b/tests/test_core/test_workflow/test_run_proofs.py
@@ -80,3 +80,23 @@
         moved = orders.for_next_incarnation()
         expected = run_proofs.Proof.EARLIER_EPOCH
         self.assertIs(expected, moved.note_absence(9.0, 100))
+
+
+class AnsweredStartsTest(testtools.TestCase):
+    def answered(self, **fields):
+        orders = run_proofs.StartOrders(**fields)
+        return orders.for_next_incarnation().answered
+
+    def test_unanswered_start_is_taken_for_one_that_can_not_arrive(self):
+        self.assertFalse(self.answered(open=1, deadline_ms=5))
+        self.assertFalse(self.answered(open=1, deadline_ms=5, confirmed_s=1.0))
+        # Rejected, or not known to have begun.
+        self.assertFalse(self.answered(deadline_ms=5))
+        # What an earlier owner has sent is not known.
+        self.assertFalse(self.answered(earlier_epoch=True, confirmed_s=1.0))
+        self.assertTrue(self.answered(deadline_ms=5, confirmed_s=1.0))
+
+    def test_worker_may_restart_once_more(self):
+        orders = run_proofs.StartOrders(deadline_ms=5, confirmed_s=1.0)
+        twice = orders.for_next_incarnation().for_next_incarnation()
+        self.assertTrue(twice.answered)
--- a/tests/test_daemon/test_lost_workers.py
+++ b/tests/test_daemon/test_lost_workers.py
@@ -168,3 +168,29 @@
         self.assertEqual(self.TASKS, len(self.running()))
         self.assertEqual(workflow_pb2.JOB_RUNNING, self.state(job))
         self.check_invariants()
+
+
+class FlappingWorkersTest(LostWorkersCase):
+    """Workers start again under their names, and fall silent at once."""
+
+    def lose_workers(self):
+        self.fleet.restarts_keep_ids = True
+        register = self.fleet._register
+
+        def register_silent(worker):
+            worker.unreachable = True
+            return register(worker)
+
+        self.fleet._register = register_silent
+        names = sorted({r.worker.partition("@")[0] for r in self.running()})
+        for name in names[:2]:
+            self.fleet.crash_and_restart(name)
+        self.lost_s = self.disturbed_s = clock.now_s()
+
+    def test_tasks_wait_for_leases_of_a_silent_next_incarnation(self):
+        self.start_job()
+        self.lose_workers()
+        self.finish()
+        self.assertEqual(
+            2, sum(w.unreachable for w in self.fleet.workers.values())
+        )
