A next owner learns of restarted workers; a lost poll or a silent store ends no run

Causes: a next owner did not know that a worker had restarted under its name, where a late order for the earlier incarnation may have given it the longest lease; a worker was listed as silent after one lost poll, and a long poll without a lease came next; an attempt that waits for its timeout hides the return of a store that had gone silent.

A worker is listed as silent once 2 s of its leases are left; one that answers again is polled shortly until it may get a lease. The horizon is 6.5 s: 4.5 s without the store, the phase of a renewal, an attempt and a poll.

--- a/packages/wisterialug-core/src/wisterialug_core/workflow/awaited_workers.py
+++ b/packages/wisterialug-core/src/wisterialug_core/workflow/awaited_workers.py
@@ -12,16 +12,19 @@
 from typing import TYPE_CHECKING
 
 from wisterialug_core.schema import workflow_pb2
-from wisterialug_core.workflow import leases
+from wisterialug_core.workflow import leases, model
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-    from wisterialug_core.workflow import model, worker_table
+    from wisterialug_core.workflow import worker_table
 
 # Silence after which a lease is no longer extended: if only the responses are
 # lost, it would never expire.
 MAX_SILENCE_S = 1.2
+# A silent worker is listed when no more than this is left of its leases: one that
+# answers again gets none until the next renewal.
+LISTED_LEFT_S = 2.0
 # Others are waited for as long as if nothing were known.
 MAX_LISTED = 200
 
@@ -32,68 +35,70 @@
     Args:
       renewal_seen_s: When the last renewal before this owner's claim was first
         seen here, or later.
-      awaited: Workers that it lists.
+      renewal: That renewal.
     """
 
     def __init__(
-        self,
-        renewal_seen_s: float,
-        awaited: Iterable[workflow_pb2.AwaitedWorker] = (),
+        self, renewal_seen_s: float, renewal: workflow_pb2.Ownership
     ) -> None:
         self._latest_s = leases.earlier_expiry_s(renewal_seen_s)
-        self._by_worker = {
-            row.worker: renewal_seen_s + row.left_ms / 1000 for row in awaited
-        }
+        self._awaited = _expiries(renewal.awaited, renewal_seen_s)
+        self._restarted = _expiries(renewal.restarted, renewal_seen_s)
 
     def expiry_s(self, worker: model.Incarnation) -> float:
         """Returns when all of a worker's leases have surely expired."""
-        known_s = self._by_worker.get(worker, self._latest_s)
-        return min(known_s, self._latest_s)
+        known_s = self._awaited.get(worker, self._latest_s)
+        return max(
+            min(known_s, self._latest_s), self._restarted.get(worker, 0.0)
+        )
+
+    def restarted_until_s(self, worker: model.Incarnation) -> float:
+        """Returns until when a worker may have the longest lease; 0 if not."""
+        return self._restarted.get(worker, 0.0)
 
     def lists(self, worker: model.Incarnation) -> bool:
         """Returns whether an earlier owner waited for a worker."""
-        return worker in self._by_worker
+        return worker in self._awaited
 
-    def left(self, now_s: float) -> list[workflow_pb2.AwaitedWorker]:
-        """Returns the listed workers, for the row of this owner's claim."""
-        return [
-            _row(worker, expiry_s - now_s)
-            for worker, expiry_s in self._by_worker.items()
-        ]
+    def add_to(self, claim: workflow_pb2.Ownership, now_s: float) -> None:
+        """Adds what is left of these leases to the row of a claim."""
+        claim.awaited.extend(_rows(self._awaited, now_s))
+        claim.restarted.extend(_rows(self._restarted, now_s))
 
 
-def awaited(
+def add_to(
+    renewal: workflow_pb2.Ownership,
     workers: Iterable[worker_table.Worker],
     earlier: EarlierLeases,
     now_s: float,
-) -> list[workflow_pb2.AwaitedWorker]:
-    """Returns the workers whose leases are waited for.
-
-    Of the next incarnation of a worker nothing is known: calls for the earlier
-    one may still arrive there.
-    """
-    rows = []
+) -> None:
+    """Adds the workers whose leases a next owner would not know."""
+    awaited, restarted = {}, {}
     for worker in workers:
-        if not worker.runs or worker.gone or worker.reborn_s:
-            continue
-        if _is_awaited(worker, earlier, now_s):
-            expiry_s = expiry_of(worker, earlier)
-            rows.append(_row(worker.report.id, expiry_s - now_s))
-    return rows[:MAX_LISTED]
+        worker_id = worker.report.id
+        if worker.restarted_until_s > now_s:
+            restarted[worker_id] = worker.restarted_until_s
+        elif worker.runs and _is_awaited(worker, earlier, now_s):
+            awaited[worker_id] = expiry_of(worker, earlier)
+    renewal.awaited.extend(_rows(awaited, now_s)[:MAX_LISTED])
+    renewal.restarted.extend(_rows(restarted, now_s))
 
 
 def expiry_of(worker: worker_table.Worker, earlier: EarlierLeases) -> float:
     """Returns when all leases of a worker have surely expired."""
     if worker.fenced:
         return worker.lease.latest_expiry_s()
-    return earlier.expiry_s(worker.report.id)
+    return max(earlier.expiry_s(worker.report.id), worker.restarted_until_s)
 
 
 def _is_awaited(
     worker: worker_table.Worker, earlier: EarlierLeases, now_s: float
 ) -> bool:
+    if worker.gone:
+        return False
     if worker.fenced:
-        return is_silent(worker, now_s)
+        left_s = worker.lease.latest_expiry_s() - now_s
+        return is_silent(worker, now_s) and left_s <= LISTED_LEFT_S
     # Others are about to answer, and need a lease then.
     return (
         bool(worker.silent_since_s)
@@ -119,19 +124,35 @@
         """Returns whether a renewal that may be in force lists a worker."""
         return worker in self._recorded or worker in self._sent
 
-    def send(self, renewal: workflow_pb2.Ownership) -> None:
+    def note_sent(self, renewal: workflow_pb2.Ownership) -> None:
         """Notes that a renewal is to be sent, at once when it is built."""
         self._sent |= _names(renewal)
 
-    def record(self, renewal: workflow_pb2.Ownership) -> None:
+    def note_recorded(self, renewal: workflow_pb2.Ownership) -> None:
         """Notes that a renewal is recorded: those before are not in force."""
         self._recorded = _names(renewal)
         self._sent = set()
 
 
-def _row(worker: str, left_s: float) -> workflow_pb2.AwaitedWorker:
-    left_ms = max(0, math.ceil(left_s * 1000))
-    return workflow_pb2.AwaitedWorker(worker=worker, left_ms=left_ms)
+def _rows(
+    expiries: dict[model.Incarnation, float], now_s: float
+) -> list[workflow_pb2.WorkerLeases]:
+    return [
+        workflow_pb2.WorkerLeases(
+            worker=worker, left_ms=math.ceil((expiry_s - now_s) * 1000)
+        )
+        for worker, expiry_s in expiries.items()
+        if expiry_s > now_s
+    ]
+
+
+def _expiries(
+    rows: Iterable[workflow_pb2.WorkerLeases], seen_s: float
+) -> dict[model.Incarnation, float]:
+    return {
+        model.Incarnation(row.worker): seen_s + row.left_ms / 1000
+        for row in rows
+    }
 
 
 def _names(ownership: workflow_pb2.Ownership) -> set[str]:
--- a/packages/wisterialug-core/src/wisterialug_core/workflow/leases.py
+++ b/packages/wisterialug-core/src/wisterialug_core/workflow/leases.py
@@ -9,7 +9,7 @@
 # No lease ends later than this after its owner's last renewal. A new owner waits
 # for that long for the runs of workers that it can't reach; an outage of the
 # store that is longer ends all runs.
-HORIZON_S = 6.0
+HORIZON_S = 6.5
 # Longest time that a call for an ended incarnation may be under way.
 MAX_CALL_DELAY_S = 8.0
 
@@ -24,14 +24,14 @@
     return renewal_seen_s + HORIZON_S / MIN_CLOCK_RATE
 
 
-def reborn_expiry_s(reborn_s: float, length_ms: int) -> float:
+def restarted_until_s(restarted_s: float, length_ms: int) -> float:
     """Returns when leases by calls for an earlier incarnation have expired.
 
     Args:
-      reborn_s: When the next incarnation was first known.
+      restarted_s: When the next incarnation was first known.
       length_ms: Longest lease that a worker holds.
     """
-    return reborn_s + MAX_CALL_DELAY_S + length_ms / 1000 / MIN_CLOCK_RATE
+    return restarted_s + MAX_CALL_DELAY_S + length_ms / 1000 / MIN_CLOCK_RATE
 
 
 def order_expiry_s(sent_s: float, length_ms: int) -> float:
--- a/packages/wisterialug-core/src/wisterialug_core/workflow/worker_table.py
+++ b/packages/wisterialug-core/src/wisterialug_core/workflow/worker_table.py
@@ -17,6 +17,8 @@
 )
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from wisterialug_core.schema import workflow_pb2
     from wisterialug_core.workflow import job_entry
 
@@ -48,8 +50,8 @@
       least_epoch: Epoch from which orders are for this incarnation: those for
         an earlier one carry a lower epoch, and it rejects them once asked
         under this one.
-      reborn_s: When it replaced an earlier incarnation, whose orders may reach
-        it; 0 if none is known.
+      restarted_until_s: Until when calls for an earlier incarnation may give it
+        the longest lease; 0 if it has not restarted under its name.
       evacuated: Its data centre is out of service, or may be.
     """
 
@@ -83,7 +85,7 @@
     changes: int = 0
     drained: bool = False
     least_epoch: int = 0
-    reborn_s: float = 0.0
+    restarted_until_s: float = 0.0
     evacuated: bool = False
 
     @property
@@ -159,9 +161,18 @@
 
 
 class WorkerTable:
-    """Workers by id, with the reservations of the shard's runs."""
+    """Workers by id, with the reservations of the shard's runs.
+
+    Args:
+      restarted_until_s: Returns what is known of a worker's
+        `restarted_until_s` when it is added.
+    """
 
-    def __init__(self) -> None:
+    def __init__(
+        self,
+        restarted_until_s: Callable[[model.Incarnation], float] = lambda _: 0.0,
+    ) -> None:
+        self._restarted_until_s = restarted_until_s
         self.workers: dict[str, Worker] = {}
         # Latest incarnation of each name.
         self._current: dict[str, Worker] = {}
@@ -183,7 +194,9 @@
         """Adds or updates a worker from its registry entry."""
         worker = self.workers.get(report.id)
         if worker is None:
-            worker = Worker(report)
+            worker = Worker(
+                report, restarted_until_s=self._restarted_until_s(report.id)
+            )
             self.workers[report.id] = worker
             self._current[report.name] = worker
         else:
@@ -232,13 +245,13 @@
             del self._current[worker.report.name]
 
     def replace(
-        self, old: Worker, report: model.WorkerReport, now_s: float
+        self, old: Worker, report: model.WorkerReport, restarted_until_s: float
     ) -> Worker:
         """Adds a worker's next incarnation, or one that was taken for ended."""
         new = self.update(report)
         self._current[report.name] = new
         new.gone = False
-        new.reborn_s = now_s
+        new.restarted_until_s = restarted_until_s
         new.fenced = False
         old.gone = True
         self.mark_absent(old.report.id)
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/election.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/election.py
@@ -304,15 +304,15 @@
         before = shard.ownership.owner
         sent_s = clock.now_s()
         earlier = awaited_workers.EarlierLeases(
-            shard.changed_s or sent_s, shard.ownership.awaited
+            shard.changed_s or sent_s, shard.ownership
         )
         ownership = workflow_pb2.Ownership(
             owner=self._cfg.owner_id,
             epoch=shard.ownership.epoch + 1,
             renewal=1,
             waiting=shard.ownership.waiting,
-            awaited=earlier.left(sent_s),
         )
+        earlier.add_to(ownership, sent_s)
         silent_s = sent_s - shard.changed_s if shard.changed_s else -1
         outcome = self._store.commit(
             row_store.Transaction(
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/lost_worker.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/lost_worker.py
@@ -12,7 +12,6 @@
 from wisterialug_core.workflow import (
     awaited_workers,
     crash_evidence,
-    leases,
     model,
     run_proofs,
 )
@@ -108,14 +107,9 @@
     shard_owner: owner.ShardOwner, worker: worker_table.Worker
 ) -> None:
     """Ends the runs of a worker whose lease has surely expired."""
-    if worker.reborn_s and not worker.fenced:
+    if worker.restarted_until_s and not worker.fenced:
         _end_answered(shard_owner, worker)
-        # Calls for an earlier incarnation count by the clock of this one.
-        expiry_s = leases.reborn_expiry_s(
-            worker.reborn_s, shard_owner.cfg.longest_lease_ms
-        )
-    else:
-        expiry_s = awaited_workers.expiry_of(worker, shard_owner.rows.earlier)
+    expiry_s = awaited_workers.expiry_of(worker, shard_owner.rows.earlier)
     if clock.now_s() > expiry_s:
         end_runs(shard_owner, worker, run_proofs.Proof.LEASE_EXPIRED)
 
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/owner.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/owner.py
@@ -90,7 +90,9 @@
         self.rows = rows
         self._first_epoch = rows.epoch
         self.shard_jobs = job_table.JobTable()
-        self.shard_workers = worker_table.WorkerTable()
+        self.shard_workers = worker_table.WorkerTable(
+            rows.earlier.restarted_until_s
+        )
         self.waits = placement_wait.Waits(cfg.remote_slowdown)
         self.interference = fill_interference.InterferenceModel()
         self.durations = task_durations.DurationTable()
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/shard_recorder.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/shard_recorder.py
@@ -208,11 +208,11 @@
             services=work_ahead.service_loads(
                 self._jobs, workers, self._owner.durations, now_ms
             ),
-            awaited=awaited_workers.awaited(
-                workers.workers.values(), self._rows.earlier, now_s
-            ),
         )
-        self._rows.withheld.send(renewal)
+        awaited_workers.add_to(
+            renewal, workers.workers.values(), self._rows.earlier, now_s
+        )
+        self._rows.withheld.note_sent(renewal)
         return renewal
 
     def _prunable(self, limit: int) -> list[row_store.RowRef]:
@@ -294,5 +294,8 @@
 def _essence(renewal: workflow_pb2.Ownership) -> workflow_pb2.Ownership:
     """Returns a renewal without what grows with the work."""
     return workflow_pb2.Ownership(
-        owner=renewal.owner, epoch=renewal.epoch, renewal=renewal.renewal
+        owner=renewal.owner,
+        epoch=renewal.epoch,
+        renewal=renewal.renewal,
+        restarted=renewal.restarted,
     )
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/shard_store.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/shard_store.py
@@ -15,13 +15,17 @@
 from wisterialug_core.schema import workflow_pb2
 from wisterialug_core.workflow import awaited_workers
 from wisterialug_daemon import logs
-from wisterialug_daemon.workflow import clock, errors, records, row_store
+from wisterialug_daemon.workflow import (
+    clock,
+    commit_attempts,
+    errors,
+    records,
+    row_store,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
 
-# Longer than a commit takes in a very slow store.
-COMMIT_TIMEOUT_S = 3.0
 SCAN_TIMEOUT_S = 2.0
 PARALLEL_SCANS = 8
 FIRST_RETRY_S = 0.05
@@ -198,12 +202,15 @@
             writes=tuple(rows),
             removes=tuple(removes),
         )
+        attempts = commit_attempts.CommitAttempts(self._store, transaction)
         pause_s = FIRST_RETRY_S
-        first_sent_s = failing_since_s = 0.0
+        first_sent_s = clock.now_s()
+        failing_since_s = 0.0
         while should_continue():
-            sent_s = clock.now_s()
-            first_sent_s = first_sent_s or sent_s
-            outcome = self._store.commit(transaction, COMMIT_TIMEOUT_S)
+            answer = attempts.next_answer()
+            if answer is None:
+                continue
+            outcome, sent_s = answer
             version = self._committed_version(
                 outcome, mark, renews=renewal is not None
             )
@@ -217,7 +224,7 @@
             if isinstance(outcome.err_value, errors.StoreRejectedError):
                 return outcome
             if not failing_since_s:
-                failing_since_s = sent_s
+                failing_since_s = first_sent_s
                 logs.warning(
                     "shard-change-retried",
                     shard=self.shard,
@@ -263,16 +270,16 @@
         self,
         version: int,
         renewal: workflow_pb2.Ownership | None,
-        sent_s: float,
+        made_s: float,
         failing_since_s: float,
     ) -> None:
         self._mark_version = version
         if renewal is not None:
             self._owner_version = version
             self.ownership = renewal
-            self.withheld.record(renewal)
+            self.withheld.note_recorded(renewal)
             self.epoch = renewal.epoch
-            self.renewed_s = sent_s
+            self.renewed_s = made_s
         if failing_since_s:
             logs.event(
                 "shard-change-done",
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/succession.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/succession.py
@@ -12,7 +12,7 @@
 
 from typing import TYPE_CHECKING
 
-from wisterialug_core.workflow import model, run_proofs
+from wisterialug_core.workflow import leases, model, run_proofs
 from wisterialug_daemon import logs
 from wisterialug_daemon.workflow import clock, lost_worker
 
@@ -38,7 +38,13 @@
     """Replaces an incarnation that has ended by the one that is reported."""
     jobs, workers = shard_owner.shard_jobs, shard_owner.shard_workers
     tasks = lost_worker.active_tasks(shard_owner, old)
-    new = workers.replace(old, report, clock.now_s())
+    new = workers.replace(
+        old,
+        report,
+        leases.restarted_until_s(
+            clock.now_s(), shard_owner.cfg.longest_lease_ms
+        ),
+    )
     # One that has not answered this owner got no orders from it.
     new.least_epoch = (
         shard_owner.raise_epoch() if old.fenced else old.least_epoch
@@ -61,7 +67,8 @@
     for task in guilty:
         lost_worker.give_up(shard_owner, task)
     shard_owner.session(new)
-    shard_owner.wake()
+    # The next owner must learn of it with the record of these runs.
+    shard_owner.renew_soon()
     return new
 
 
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/worker_session.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/worker_session.py
@@ -163,15 +163,17 @@
             with eventlet.Timeout(COMMIT_WAIT_S, False):
                 self._all_committed.wait()
         held = self._acks.awaits_orders(clock.now_s())
-        if held:
-            # A worker that lists an end answers at once.
+        withheld = worker.report.id in self._owner.rows.withheld
+        if held or (withheld and worker.fenced):
+            # A worker that lists an end answers at once. One that gets no lease
+            # needs one soon.
             eventlet.sleep(HELD_POLL_S)
         self._all_committed = eventlet.event.Event()
         wait_ms = 0
         if (
             worker.fenced
             and not self._acks.uncommitted
-            and not held
+            and not (held or withheld)
             and (worker.runs or self._strays.listed)
             and not worker.silent_since_s
             and not self._awaits_absence()
@@ -271,7 +273,11 @@
             # An earlier owner may have extended the lease just before; what
             # was granted by the clock of an earlier incarnation, at the most.
             cfg = self._owner.cfg
-            lease_ms = cfg.longest_lease_ms if worker.reborn_s else cfg.lease_ms
+            lease_ms = (
+                cfg.longest_lease_ms
+                if worker.restarted_until_s
+                else cfg.lease_ms
+            )
             worker.lease.deadline_ms = max(
                 worker.lease.deadline_ms, reply.clock_ms + lease_ms
             )
