--- a/packages/wisterialug-core/src/wisterialug_core/workflow/leases.py
+++ b/packages/wisterialug-core/src/wisterialug_core/workflow/leases.py
@@ -75,9 +75,9 @@
         The deadline is at most `length_ms` after the worker's time at `now_s`,
         and at most `HORIZON_S` after the last renewal. A new owner relies on
         both: from the worker's clock in its first response, or from the renewal,
-        it knows when all leases of earlier owners have expired. So one reading of the clock decides both whether
-        there is a lease and when it ends; the process may be suspended between
-        two readings.
+        it knows when all leases of earlier owners have expired. So one reading
+        of the clock decides both whether there is a lease and when it ends; the
+        process may be suspended between two readings.
 
         Args:
           now_s: Present time.
