Owners log the longest wait of a long-running task, and what bars it from room

Where long-running tasks that were stopped did not run though there was room, logs did not tell whether no worker had room, or had it kept for short tasks, or could not be used: placements name the workers that were chosen only, and lines of busy seconds are left out. Each half second while such tasks wait, one line now has the task that has waited for the longest, with the workers that have room for it before and after the round.

No decision changes.

--- a/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/owner.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/owner.py
@@ -31,6 +31,7 @@
     shard_recorder,
     shard_store,
     shared_effects,
+    waiting_log,
     worker_sessions,
 )
 
@@ -115,6 +116,9 @@
         self.contents = shard_contents.ShardContents(
             self, self._feeds, self._lender, self._recorder
         )
+        self._waiting_log = waiting_log.WaitingLog(
+            rows.shard, self.shard_jobs, self.shard_workers
+        )
         self._pending: list[task_placement.Placement] = []
         self._wake = eventlet.event.Event()
         self._stopping = False
@@ -249,6 +253,7 @@
         step = self.shard_jobs.step(task.key)
         self.shard_jobs.end(task, end, checkpoint, clock.wall_ms())
         self.shard_workers.release(task, worker_id, step)
+        task.idle_since_s = clock.now_s()
         metrics.RUN_ENDS.labels(end.value).inc()
         if step.gang and end is not model.RunEnd.DONE:
             self._stop_gang(task)
@@ -281,6 +286,7 @@
             return
         self.evacuations.apply(now_s)
         self._losses.settle()
+        waiting = self._waiting_log.begin(now_s)
         if self._feeds.registry_seen:
             self._pending += step_placement.plan(
                 self.shard_jobs,
@@ -291,6 +297,7 @@
                 waits=self.waits,
             )
             owner_logs.log_waits(self.rows.shard, self.waits.take_changes())
+        self._waiting_log.end(waiting, now_s)
         self._dispatcher.stop_unwanted()
         self._dispatcher.make_room(now_s)
         self._lender.check(now_s)
