--- a/packages/wisterialug-core/src/wisterialug_core/workflow/job_entry.py
+++ b/packages/wisterialug-core/src/wisterialug_core/workflow/job_entry.py
@@ -42,6 +42,7 @@
         unshared_crashes=task.crash_evidence.unshared_crashes,
         outlived_start=task.active and task.crash_evidence.outlived_start,
         open_losses=task.crash_evidence.open_losses,
+        last_run_end_ms=0 if task.done else task.last_run_end_ms,
     )
 
 
--- a/packages/wisterialug-core/src/wisterialug_core/workflow/job_table.py
+++ b/packages/wisterialug-core/src/wisterialug_core/workflow/job_table.py
@@ -106,6 +106,7 @@
             task.checkpoint = record.checkpoint
             task.lent_to = record.lent_to
             task.loans = record.loans
+            task.last_run_end_ms = record.last_run_end_ms
             self.restore_evidence(task, record)
             if record.done:
                 task.done = True
@@ -185,6 +186,7 @@
         if end is model.RunEnd.FAILED:
             task.failed_on = (*task.failed_on, task.worker)
         task.worker = ""
+        task.last_run_end_ms = now_ms
         entry.active -= 1
         if checkpoint:
             task.checkpoint = checkpoint
@@ -277,6 +279,7 @@
         task.run = max(task.run, record.run)
         task.failures = max(task.failures, record.failures)
         task.checkpoint = record.checkpoint
+        task.last_run_end_ms = record.last_run_end_ms
         self.restore_evidence(task, record)
         self.dirty.add(task.key.job)
         if entry.state == workflow_pb2.JOB_QUEUED:
--- a/packages/wisterialug-core/src/wisterialug_core/workflow/loans.py
+++ b/packages/wisterialug-core/src/wisterialug_core/workflow/loans.py
@@ -116,6 +116,7 @@
             task.run = max(task.run, record.run)
             task.failures = max(task.failures, record.failures)
             task.checkpoint = record.checkpoint
+            task.last_run_end_ms = record.last_run_end_ms
             self._jobs.restore_evidence(task, record)
             new = True
         if new:
--- a/packages/wisterialug-core/src/wisterialug_core/workflow/long_running_waits.py
+++ b/packages/wisterialug-core/src/wisterialug_core/workflow/long_running_waits.py
@@ -48,19 +48,20 @@
 
 
 def waits(jobs: job_table.JobTable, now_s: float, now_ms: int) -> Waits | None:
-    """Returns the waits of long-running tasks; None if there are none.
-
-    A task that was not seen to wait before begins to.
-    """
+    """Returns the waits of long-running tasks; None if there are none."""
     tasks = jobs.waiting_long_running(now_ms)
     if not tasks:
         return None
-    for task in tasks:
-        task.idle_since_s = task.idle_since_s or now_s
-    longest = min(tasks, key=lambda task: task.idle_since_s)
+    since_ms, longest = min(
+        (
+            (t.last_run_end_ms or jobs.jobs[t.key.job].job.accepted_ms, t)
+            for t in tasks
+        ),
+        key=lambda item: item[0],
+    )
     return Waits(
         longest,
-        now_s - longest.idle_since_s,
+        (now_ms - since_ms) / 1000,
         len(tasks),
         sum(task.not_before_s > now_s for task in tasks),
     )
--- a/packages/wisterialug-core/src/wisterialug_core/workflow/step_placement.py
+++ b/packages/wisterialug-core/src/wisterialug_core/workflow/step_placement.py
@@ -17,6 +17,7 @@
     gang_placement,
     job_table,
     model,
+    overdue_first,
     placement_queue,
     placement_wait,
     task_placement,
@@ -75,6 +76,7 @@
     this_round = _Round(
         jobs, workers, interference, usable, trials, wait_round, now_s, now_ms
     )
+    this_round.place_overdue(overdue_first.select(queue, jobs, now_ms))
     for group, waiting in finite_first.select(queue, jobs, usable, now_ms):
         this_round.place(group, waiting, first=True)
     for group, waiting in queue:
@@ -143,6 +145,7 @@
         waiting: list[model.Task],
         *,
         first: bool = False,
+        holds: bool = True,
     ) -> None:
         """Places as many waiting tasks of a group as fit.
 
@@ -150,6 +153,7 @@
           group: The group.
           waiting: Its tasks.
           first: Whether they go before long-running tasks.
+          holds: Whether a worker is held for one that does not fit.
         """
         entry = self._jobs.jobs[group.job]
         step = entry.job.steps[group.step]
@@ -183,7 +187,8 @@
             worker = queue.best(task)
             if worker is None:
                 if step.long_running:
-                    _hold_worker(step, group, candidates, self._held)
+                    if holds:
+                        self._hold_worker(step, group, candidates)
                 elif not step.max_per_worker:
                     self._note_exhausted(entry, step)
                 if starved:
@@ -201,6 +206,29 @@
             self._reserve(task, worker)
             queue.update(worker)
 
+    def place_overdue(
+        self, overdue: list[tuple[model.GroupKey, model.Task]]
+    ) -> None:
+        """Places as many long-running tasks as fit, in this order."""
+        full: set[model.GroupKey] = set()
+        for group, task in overdue:
+            if group not in full:
+                self.place(group, [task], holds=False)
+                if task.pending:
+                    full.add(group)
+
+    def _hold_worker(
+        self,
+        step: workflow_pb2.Step,
+        group: model.GroupKey,
+        candidates: list[worker_table.Worker],
+    ) -> None:
+        """Holds the worker on which a long-running task will fit first."""
+        left = [w for w in candidates if w.report.id not in self._held]
+        worker = worker_rating.next_to_fit(step, group, left)
+        if worker is not None:
+            self._held.add(worker.report.id)
+
     def _candidates(
         self,
         entry: job_entry.JobEntry,
@@ -367,30 +395,3 @@
         step.fills,
         image,
     )
-
-
-def _hold_worker(
-    step: workflow_pb2.Step,
-    group: model.GroupKey,
-    candidates: list[worker_table.Worker],
-    held: set[str],
-) -> None:
-    """Holds the worker on which a long-running task will fit first.
-
-    Otherwise many short tasks would fill each gap as it opens and starve the
-    larger long-running task.
-    """
-    need = job_table.reserved_amount(step)
-    options = [
-        w
-        for w in candidates
-        if w.report.id not in held
-        and need.fits(w.free_after_batch())
-        and not (
-            step.max_per_worker
-            and w.step_counts.get(group, 0) >= step.max_per_worker
-        )
-    ]
-    if options:
-        best = max(options, key=lambda w: w.free().cpu_millicores)
-        held.add(best.report.id)
--- a/packages/wisterialug-core/src/wisterialug_core/workflow/worker_rating.py
+++ b/packages/wisterialug-core/src/wisterialug_core/workflow/worker_rating.py
@@ -167,6 +167,32 @@
         return _fill_score(step, worker, ratio)
 
 
+def next_to_fit(
+    step: workflow_pb2.Step,
+    group: model.GroupKey,
+    workers: Iterable[worker_table.Worker],
+) -> worker_table.Worker | None:
+    """Returns the worker on which a long-running task will fit first, if any.
+
+    It is kept from short tasks, which would fill each gap as it opens and
+    starve the larger long-running task.
+    """
+    need = job_table.reserved_amount(step)
+    return max(
+        (
+            worker
+            for worker in workers
+            if need.fits(worker.free_after_batch())
+            and not (
+                step.max_per_worker
+                and worker.step_counts.get(group, 0) >= step.max_per_worker
+            )
+        ),
+        key=lambda worker: worker.free().cpu_millicores,
+        default=None,
+    )
+
+
 def _cold_load(worker: worker_table.Worker) -> int:
     """Returns the runs that a cold worker would have; 0 for a warm one.
 
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/owner.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/owner.py
@@ -253,7 +253,6 @@
         step = self.shard_jobs.step(task.key)
         self.shard_jobs.end(task, end, checkpoint, clock.wall_ms())
         self.shard_workers.release(task, worker_id, step)
-        task.idle_since_s = clock.now_s()
         metrics.RUN_ENDS.labels(end.value).inc()
         if step.gang and end is not model.RunEnd.DONE:
             self._stop_gang(task)
--- a/tests/test_core/test_workflow/test_loans.py
+++ b/tests/test_core/test_workflow/test_loans.py
@@ -98,6 +98,15 @@
         self.lend("s0", "s1", 2)
         self.assertEqual(5, self.other.jobs.task(task.key).run)
 
+    def test_borrower_and_its_next_owner_know_since_when_a_task_waits(self):
+        task = self.home.jobs.task(model.TaskKey("j", 0, 0, 1))
+        self.home.jobs.start(task, "w", 1, 0.0)
+        self.home.jobs.end(task, model.RunEnd.STOPPED, "", NOW_MS)
+        self.lend("s0", "s1", 1)
+        for shard in (self.other, self.restored("s1")):
+            borrowed = shard.jobs.task(task.key)
+            self.assertEqual(NOW_MS, borrowed.last_run_end_ms)
+
     def test_loan_read_twice_changes_nothing(self):
         loan = self.lend("s0", "s1", 2)
         task = self.other.jobs.task(model.TaskKey("j", 0, 0, 2))
