--- a/packages/wisterialug-core/src/wisterialug_core/workflow/model.py
+++ b/packages/wisterialug-core/src/wisterialug_core/workflow/model.py
@@ -120,6 +120,8 @@
     loans: int = 0
     # When a borrowed task that waits was first seen to; 0 if it does not wait.
     borrowed_s: float = 0.0
+    # Unix time at which its latest run ended; 0 if none has.
+    last_run_end_ms: int = 0
     # Workers on which a run has failed.
     failed_on: tuple[str, ...] = ()
     crash_evidence: crash_evidence.CrashEvidence = dataclasses.field(
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/owner.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/owner.py
@@ -32,6 +32,7 @@
     shard_recorder,
     shard_store,
     shared_effects,
+    waiting_log,
     worker_sessions,
 )
 
@@ -120,6 +121,9 @@
         self.contents = shard_contents.ShardContents(
             self, self._feeds, self._lender, self._recorder
         )
+        self._waiting_log = waiting_log.WaitingLog(
+            rows.shard, self.shard_jobs, self.shard_workers
+        )
         self._pending: list[task_placement.Placement] = []
         self._wake = eventlet.event.Event()
         self._stopping = False
@@ -296,6 +300,7 @@
             self._expiry_checked_s = now_s
             lost_worker.check_silent(self)
         self._losses.settle()
+        waiting = self._waiting_log.begin(now_s)
         if self._feeds.registry_seen:
             self._pending += step_placement.plan(
                 self.shard_jobs,
@@ -306,6 +311,7 @@
                 waits=self.waits,
             )
             owner_logs.log_waits(self.rows.shard, self.waits.take_changes())
+        self._waiting_log.end(waiting, now_s)
         self._dispatcher.stop_unwanted()
         self._dispatcher.make_room(now_s)
         self._lender.check(now_s)
