Tests: clients that connect again when they are closed

A process that makes room by closing connections must still answer others when the clients come back at once.

--- a/tests/test_platform/client_crowd.py
+++ b/tests/test_platform/client_crowd.py
@@ -20,6 +20,7 @@
 QUIET_S = 1.5
 SETTLE_S = 60.0
 WATCH_S = 0.05
+RETURN_S = 0.2
 # Only ends a test that would hang.
 ANSWER_S = 60.0
 CLIENT_ERRORS = (OSError, eventlet.Timeout)
@@ -85,7 +86,9 @@
 
 
 class Crowd:
-    """Clients that send the same bytes, stay connected and read nothing.
+    """Clients that send the same bytes and stay connected.
+
+    Those that don't return read nothing.
 
     Attributes:
       sent: Bytes that all clients have sent.
@@ -99,12 +102,28 @@
         self.sent = 0
         self.done = 0
 
-    def join(self, count, port, data, piece_bytes=PIECE_BYTES, pause_s=0.0):
-        """Connects clients; each sends its bytes in pieces."""
+    def join(
+        self,
+        count,
+        port,
+        data,
+        piece_bytes=PIECE_BYTES,
+        pause_s=0.0,
+        returns=0,
+    ):
+        """Connects clients; each sends its bytes in pieces.
+
+        Args:
+          count: Number of clients.
+          port: Port of the process.
+          data: What each of them sends.
+          piece_bytes: Size of a piece.
+          pause_s: Time after each piece.
+          returns: How often a client that was closed connects again.
+        """
         for _ in range(count):
-            self._threads.append(
-                eventlet.spawn(self._run, port, data, piece_bytes, pause_s)
-            )
+            args = port, data, piece_bytes, pause_s, returns
+            self._threads.append(eventlet.spawn(self._run, *args))
 
     def settle(self):
         """Waits until nothing more is sent, and nothing read of it."""
@@ -122,23 +141,38 @@
         for sock in self._socks:
             sock.close()
 
-    def _run(self, port, data, piece_bytes, pause_s):
+    def _run(self, port, data, piece_bytes, pause_s, returns):
+        try:
+            with eventlet.Timeout(STAY_S):
+                waits = bool(returns)
+                self._send(port, data, piece_bytes, pause_s, waits)
+                for _ in range(returns):
+                    eventlet.sleep(RETURN_S)
+                    self._send(port, data, piece_bytes, pause_s, waits)
+        except eventlet.Timeout:
+            pass
+        finally:
+            self.done += 1
+
+    def _send(self, port, data, piece_bytes, pause_s, waits):
         sock = socket.socket()
         self._socks.append(sock)
         view = memoryview(data)
         try:
-            with eventlet.Timeout(STAY_S):
-                sock.connect((self._ip, port))
-                for first in range(0, len(data), piece_bytes):
-                    piece = view[first : first + piece_bytes]
-                    sock.sendall(piece)
-                    self.sent += len(piece)
-                    eventlet.sleep(pause_s)
-        except CLIENT_ERRORS:
+            sock.connect((self._ip, port))
+            for first in range(0, len(data), piece_bytes):
+                piece = view[first : first + piece_bytes]
+                sock.sendall(piece)
+                self.sent += len(piece)
+                eventlet.sleep(pause_s)
+            while waits and sock.recv(PIECE_BYTES):
+                pass
+        except OSError:
             # To be turned away or closed is allowed.
             pass
         finally:
-            self.done += 1
+            if waits:
+                sock.close()
 
 
 class CrowdTest(process_bench.ProcessTest):
--- a/tests/test_platform/test_misbehaving_clients.py
+++ b/tests/test_platform/test_misbehaving_clients.py
@@ -205,6 +205,17 @@
         self.crowd.join(400, CALLERS, b"")
         self.check_survives()
 
+    def test_idle_clients_that_return_keep_others_out(self):
+        self.crowd.join(400, CALLERS, b"", returns=50)
+        self.check_survives(beside_s=4.0)
+
+    def test_short_bodies_of_clients_that_return_keep_others_out(self):
+        data = client_crowd.request(
+            "POST", JOB_PATH, "Content-Length: 9", body=b"{}"
+        )
+        self.crowd.join(400, CALLERS, data, returns=50)
+        self.check_survives(beside_s=4.0)
+
     def test_idle_connections_of_all_ports_take_all_descriptors(self):
         for port in (CALLERS, READINESS, PEERS, METRICS):
             self.crowd.join(120, port, b"")
