--- a/packages/wisterialug-daemon/src/wisterialug_daemon/http/callers.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/http/callers.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING
 
 from wisterialug_daemon import messages
-from wisterialug_daemon.http import server
+from wisterialug_daemon.http import responses
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
@@ -58,7 +58,7 @@
         self._safe_methods = safe_methods
 
     def __call__(
-        self, environ: dict, start_response: server.StartResponse
+        self, environ: dict, start_response: responses.StartResponse
     ) -> Iterable[bytes]:
         """Answers one request."""
         resp = self._respond(environ)
@@ -69,7 +69,7 @@
         ]
         headers.append((OUTCOME_HEADER, resp.outcome.value))
         headers.append(("Content-Length", str(len(resp.body))))
-        start_response(server.status_line(resp.status), headers)
+        start_response(responses.status_line(resp.status), headers)
         return [resp.body]
 
     def _respond(self, environ: dict) -> messages.CallerResponse:
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/http/monitoring.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/http/monitoring.py
@@ -7,7 +7,7 @@
 import prometheus_client
 
 from wisterialug_daemon import metrics
-from wisterialug_daemon.http import server
+from wisterialug_daemon.http import responses
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
@@ -21,20 +21,20 @@
         self._metrics = prometheus_client.make_wsgi_app(metrics.REGISTRY)
 
     def __call__(
-        self, environ: dict, start_response: server.StartResponse
+        self, environ: dict, start_response: responses.StartResponse
     ) -> Iterable[bytes]:
         """Answers one request."""
         path = environ["PATH_INFO"]
         if path == "/livez":
-            return server.json_response(start_response, 200, {"live": True})
+            return responses.json_response(start_response, 200, {"live": True})
         if path == "/readyz":
             ready = self._ready()
             metrics.READY.set(int(ready))
-            return server.json_response(
+            return responses.json_response(
                 start_response, 200 if ready else 503, {"ready": ready}
             )
         if path == "/metrics":
             return self._metrics(environ, start_response)
-        return server.json_response(
+        return responses.json_response(
             start_response, 404, {"error": f"no such path {path}"}
         )
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/http/operators.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/http/operators.py
@@ -12,7 +12,7 @@
 
 from wisterialug_core.schema import work_pb2
 from wisterialug_daemon import errors
-from wisterialug_daemon.http import server
+from wisterialug_daemon.http import responses
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
@@ -55,23 +55,23 @@
         ]
 
     def __call__(
-        self, environ: dict, start_response: server.StartResponse
+        self, environ: dict, start_response: responses.StartResponse
     ) -> Iterable[bytes]:
         """Answers one request."""
         try:
             body = self._dispatch(environ)
         except errors.OperatorError as exc:
-            return server.json_response(
+            return responses.json_response(
                 start_response,
                 exc.status,
                 {"title": exc.title, "details": exc.details},
             )
         except Exception:  # noqa: BLE001 - reported to the operator
             logging.exception("operator request failed")
-            return server.json_response(
+            return responses.json_response(
                 start_response, 500, {"title": "internal error", "details": []}
             )
-        return server.json_response(start_response, 200, body)
+        return responses.json_response(start_response, 200, body)
 
     def _dispatch(self, environ: dict) -> object:
         given = environ.get("HTTP_AUTHORIZATION", "").removeprefix("Bearer ")
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/http/server.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/http/server.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import contextlib
-import json
 import time
 from typing import TYPE_CHECKING
 
@@ -15,8 +14,6 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
 
-    StartResponse = Callable[[str, list[tuple[str, str]]], object]
-
 # Not patched by eventlet: polls without yielding to other greenlets.
 _select = eventlet.patcher.original("select")
 
@@ -28,25 +25,6 @@
 ACCEPT_BACKLOG_S = 0.5
 REQUEST_START_S = 0.05
 
-_REASON_PHRASES = {
-    200: "OK",
-    201: "Created",
-    400: "Bad Request",
-    401: "Unauthorized",
-    403: "Forbidden",
-    404: "Not Found",
-    405: "Method Not Allowed",
-    409: "Conflict",
-    410: "Gone",
-    411: "Length Required",
-    413: "Content Too Large",
-    422: "Unprocessable Content",
-    429: "Too Many Requests",
-    500: "Internal Server Error",
-    503: "Service Unavailable",
-    504: "Gateway Timeout",
-}
-
 
 class _Protocol(eventlet.wsgi.HttpProtocol):
     """HTTP/1.1 protocol handler."""
@@ -113,27 +91,3 @@
             eventlet.sleep(0)
         if accepted:
             eventlet.sleep(REQUEST_START_S)
-
-
-def status_line(status: int) -> str:
-    """Returns a status with its reason phrase."""
-    return f"{status} {_REASON_PHRASES.get(status, 'Status')}"
-
-
-def json_response(
-    start_response: StartResponse,
-    status: int,
-    body: object,
-    headers: Iterable[tuple[str, str]] = (),
-) -> list[bytes]:
-    """Sends a response with a JSON body."""
-    data = json.dumps(body).encode()
-    start_response(
-        status_line(status),
-        [
-            ("Content-Type", "application/json"),
-            ("Content-Length", str(len(data))),
-            *headers,
-        ],
-    )
-    return [data]
--- a/tests/test_daemon/test_http_server.py
+++ b/tests/test_daemon/test_http_server.py
@@ -5,7 +5,7 @@
 import eventlet
 import testtools
 
-from wisterialug_daemon.http import server
+from wisterialug_daemon.http import responses, server
 
 REQUEST = b"GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n"
 
@@ -23,7 +23,7 @@
         del environ
         eventlet.sleep(0.05)
         self.answered += 1
-        return server.json_response(start_response, 200, {})
+        return responses.json_response(start_response, 200, {})
 
     def connect(self):
         """Sends a request without yielding to the server."""
--- a/tests/test_platform/process_bench.py
+++ b/tests/test_platform/process_bench.py
@@ -14,7 +14,7 @@
 
 from tests.test_daemon import workflow_base
 from tests.test_platform import thin_store
-from wisterialug_daemon.http import server
+from wisterialug_daemon.http import responses, server
 from wisterialug_daemon.workflow import errors, row_store, worker_calls
 from wisterialug_standins import emulated_workers
 
@@ -96,7 +96,7 @@
             answer = 410, {}
             if found is not None:
                 answer = 200, thin_store.answer_fields(*found)
-        return server.json_response(start_response, *answer)
+        return responses.json_response(start_response, *answer)
 
     def _transact(self, fields):
         outcome = self._rows.commit(
@@ -134,15 +134,15 @@
         worker = self._fleet.workers[self._name].report
         expected = environ.get("HTTP_X_EXPECTED_INSTANCE", worker.name)
         if expected != worker.name:
-            return server.json_response(start_response, 421, {})
+            return responses.json_response(start_response, 421, {})
         outcome = self._carry_out(environ["PATH_INFO"], worker, fields)
         clock_ms = self._fleet.workers[self._name].clock_ms()
         if outcome.is_err():
             reason = _REASONS[outcome.err_value.reason]
             answer = {"clock_ms": clock_ms, "reason": reason}
-            return server.json_response(start_response, 409, answer)
+            return responses.json_response(start_response, 409, answer)
         answer = {"clock_ms": clock_ms, **outcome.ok_value}
-        return server.json_response(start_response, 200, answer)
+        return responses.json_response(start_response, 200, answer)
 
     def _carry_out(self, path, worker, fields):
         epoch = fields["fencing_token"]
--- a/tests/test_platform/thin_store.py
+++ b/tests/test_platform/thin_store.py
@@ -6,7 +6,7 @@
 
 import eventlet
 
-from wisterialug_daemon.http import server
+from wisterialug_daemon.http import responses, server
 from wisterialug_daemon.workflow import clock
 
 READ_TIMEOUT_S = 1.0
@@ -61,12 +61,12 @@
         path = environ["PATH_INFO"]
         self.requests.append(path)
         if self.refusing:
-            return server.json_response(start_response, 503, {})
+            return responses.json_response(start_response, 503, {})
         query = dict(urllib.parse.parse_qsl(environ["QUERY_STRING"], True))
         read = read_feed if "feed" in path else read_scan
         found = read(self._rows, query)
         if found is None:
-            return server.json_response(start_response, 410, {})
+            return responses.json_response(start_response, 410, {})
         data = json.dumps(answer_fields(*found)).encode()
         start_response("200 OK", [("Content-Length", str(len(data)))])
         return self._send(data)
