Server: bounds on what clients may send before they are answered

Clients that sent many chunked bodies and stopped just short of their ends made a process run out of memory.

Cause: eventlet's server bounds one line and one head, and nothing else. A body was kept in one object for each of its chunks, until a client ended it, on any number of connections, with trailers and lines of any length; no request and no connection had a time limit.

Change: a request is read by streams, framing and request_body, into one buffer and as a whole; a truncated body is not handed out. Each port has a fixed share of the process's memory for requests that are not answered yet, and of connections (http/limits, derived from the VM's memory and descriptors). Once the bytes are used up, the largest unfinished request is ended; it holds more than the mean, so that small requests are read however many large ones are held back. Once the connections are used up, the one that has waited longest without a request that is being answered is closed. Heads, bodies, idle connections and responses that nobody reads end at their times. Bodies of very many chunks are decoded in turn. A body over its limit is answered with 413 (it was truncated, and answered with 400), contradicting framing with 400. Decisions are logged as client-limited, once a second and reason.

--- a/packages/wisterialug-daemon/src/wisterialug_daemon/application.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/application.py
@@ -33,7 +33,13 @@
     vm_inventory,
 )
 from wisterialug_daemon.adapters import peer, table, upstream, vm_list
-from wisterialug_daemon.http import callers, monitoring, operators, server
+from wisterialug_daemon.http import (
+    callers,
+    limits,
+    monitoring,
+    operators,
+    server,
+)
 
 if TYPE_CHECKING:
     from wisterialug_core.schema import settings_pb2
@@ -230,12 +236,15 @@
             cfg.ip,
             cfg.metrics_port,
             monitoring.MonitoringApplication(self.ready),
+            name=limits.Port.METRICS,
         )
         self._stack.callback(monitoring_server.close)
         operator_server = server.WsgiServer(
             cfg.ip,
             cfg.operator_port,
             operators.OperatorsApplication(token, self._operations, self._jobs),
+            limits.port_limits(limits.Port.OPERATORS, operators.MAX_BODY_BYTES),
+            limits.Port.OPERATORS,
         )
         self._stack.callback(operator_server.close, 1.0)
         self._caller_server = server.WsgiServer(
@@ -248,6 +257,8 @@
                 cfg.max_body_bytes,
                 router.SAFE_METHODS,
             ),
+            limits.port_limits(limits.Port.CALLERS, cfg.max_body_bytes),
+            limits.Port.CALLERS,
         )
         self._stack.callback(self._caller_server.close)
 
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/http/callers.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/http/callers.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING
 
 from wisterialug_daemon import messages
-from wisterialug_daemon.http import responses
+from wisterialug_daemon.http import request_errors, responses
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
@@ -96,10 +96,15 @@
                 "body-too-large",
                 f"the body exceeds {self._max_body_bytes} bytes",
             )
-        body = environ["wsgi.input"].read(length) if length else b""
-        if len(body) != length:
-            return _refuse(400, "body-cut-short", "the body is truncated")
-        return body
+        try:
+            return environ["wsgi.input"].read()
+        except request_errors.RequestError as exc:
+            return _refuse(
+                exc.status,
+                exc.reason.value,
+                exc.detail,
+                retry_after_s=exc.retry_after_s,
+            )
 
     def _request(
         self, environ: dict, body: bytes
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/http/operators.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/http/operators.py
@@ -12,7 +12,7 @@
 
 from wisterialug_core.schema import work_pb2
 from wisterialug_daemon import errors
-from wisterialug_daemon.http import responses
+from wisterialug_daemon.http import request_errors, responses
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
@@ -66,6 +66,13 @@
                 exc.status,
                 {"title": exc.title, "details": exc.details},
             )
+        except request_errors.RequestError as exc:
+            return responses.json_response(
+                start_response,
+                exc.status,
+                {"title": exc.detail, "details": []},
+                responses.retry_after(exc.retry_after_s),
+            )
         except Exception:  # noqa: BLE001 - reported to the operator
             logging.exception("operator request failed")
             return responses.json_response(
@@ -102,13 +109,8 @@
 
 
 def _json_body(environ: dict) -> dict:
-    length = int(environ.get("CONTENT_LENGTH") or 0)
-    if length > MAX_BODY_BYTES:
-        raise errors.OperatorError(
-            413, f"the body exceeds {MAX_BODY_BYTES} bytes", []
-        )
     try:
-        body = json.loads(environ["wsgi.input"].read(length) or b"{}")
+        body = json.loads(environ["wsgi.input"].read() or b"{}")
     except ValueError as exc:
         raise errors.OperatorError(
             400, "the body is not JSON", [str(exc)]
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/metrics.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/metrics.py
@@ -63,6 +63,15 @@
 FORWARDS = _counter(
     "forwards", "Requests handed to another entry VM, by outcome.", ("outcome",)
 )
+HTTP_LIMITED = _counter(
+    "http_limited",
+    "Requests rejected and connections ended by the server's limits.",
+    ("port", "reason"),
+)
+HTTP_CONNECTIONS = _gauge("http_connections", "Open connections.", ("port",))
+HTTP_HELD_BYTES = _gauge(
+    "http_held_bytes", "Bytes of requests that are not answered.", ("port",)
+)
 QUEUED = _gauge("queued_requests", "Requests that wait for a slot.")
 IN_FLIGHT = _gauge("in_flight_requests", "Requests at instances of this VM.")
 SET_ASIDE = _gauge("instances_set_aside", "Instances that get only probes.")
