--- a/tests/test_platform/process_bench.py
+++ b/tests/test_platform/process_bench.py
@@ -26,6 +26,7 @@
 CALL_S = 3.0
 STORE_PORT, WORKER_PORT = 8169, 8080
 CALLERS_PORT, READINESS_PORT = 8161, 8167
+PEERS_PORT, METRICS_PORT = 7720, 9464
 _REASONS = {
     errors.Rejection.FENCED: "fence",
     errors.Rejection.OLD_RUN: "old",
@@ -47,6 +48,8 @@
 [limits]
 cpu_share = 0.5
 cores = 2
+memory_mb = {memory_mb}
+max_fds = {max_fds}
 [bounds]
 hold_max_ms = {hold_max_ms}
 status_s = 60
@@ -173,6 +176,9 @@
     """Provides processes that are started with the deploy file's command."""
 
     PROCESSES = 3
+    # Of each process, in its settings.
+    MEMORY_MB = 300
+    MAX_FDS = 4100
 
     def setUp(self):
         super().setUp()
@@ -255,6 +261,8 @@
                 _SETTINGS.format(
                     node=f"front-{number}",
                     ip=ip,
+                    memory_mb=self.MEMORY_MB,
+                    max_fds=self.MAX_FDS,
                     hold_max_ms=emulated_workers.MAX_LEASE_MS,
                     store=f"{self._net}.200:{STORE_PORT}",
                 )
@@ -279,7 +287,7 @@
                 self.logged,
             )
 
-    def hand_in(self, tasks=4):
+    def hand_in(self, tasks=4, within_s=10):
         """Hands a job in; returns its id once it is accepted."""
         job = workflow_base.workflow_pb2.Job(
             id=f"{self.rng.getrandbits(64):016x}",
@@ -293,7 +301,9 @@
             ],
         }
         self.wait_for(
-            lambda: self.ask("POST", job.id, fields)[0] == 200, 10, self.logged
+            lambda: self.ask("POST", job.id, fields)[0] == 200,
+            within_s,
+            self.logged,
         )
         return job.id
 
