Tests: the most descriptors beside a crowd are kept, not the last

Descriptors were counted once the crowd had settled, so that a process could have been over its limit until then. They are now read each 50 ms while the test runs, and the largest number is checked. The check is stricter; crowds and bounds are the same.

--- a/tests/test_platform/client_crowd.py
+++ b/tests/test_platform/client_crowd.py
@@ -19,6 +19,7 @@
 # A crowd has settled once nothing was sent or read for QUIET_S.
 QUIET_S = 1.5
 SETTLE_S = 60.0
+WATCH_S = 0.05
 # Only ends a test that would hang.
 ANSWER_S = 60.0
 CLIENT_ERRORS = (OSError, eventlet.Timeout)
@@ -43,7 +44,8 @@
 
     Attributes:
       unread_kib: Received by the kernel, and not yet read; not resident.
-      sockets: Descriptors of sockets and pipes.
+      descriptors: The most that were open at a time so far.
+      sockets: The same of sockets and pipes.
     """
 
     peak_kib: int
@@ -152,6 +154,9 @@
         self.start_processes()
         self.ip = f"{self._net}.1"
         self.pid = self.processes[0].pid
+        self.most_descriptors = self.most_sockets = 0
+        watch = eventlet.spawn(self.watch_descriptors)
+        self.addCleanup(watch.kill)
         self.hand_in_and_get()
         self.crowd = Crowd(self.ip)
         self.addCleanup(self.crowd.close)
@@ -190,15 +195,24 @@
             line.split(":", 1)
             for line in (proc / "status").read_text().splitlines()
         )
-        links = [_link(file) for file in (proc / "fd").iterdir()]
         return Usage(
             peak_kib=int(status["VmHWM"].split()[0]),
             resident_kib=int(status["VmRSS"].split()[0]),
             unread_kib=unread_bytes(self.ip) // 1024,
-            descriptors=len(links),
-            sockets=sum(x.startswith(("socket:", "pipe:")) for x in links),
+            descriptors=self.most_descriptors,
+            sockets=self.most_sockets,
         )
 
+    def watch_descriptors(self):
+        """Keeps the largest numbers, until the process ends."""
+        folder = pathlib.Path(f"/proc/{self.pid}/fd")
+        while self.processes[0].poll() is None:
+            links = [_link(file) for file in folder.iterdir()]
+            self.most_descriptors = max(self.most_descriptors, len(links))
+            sockets = sum(x.startswith(("socket:", "pipe:")) for x in links)
+            self.most_sockets = max(self.most_sockets, sockets)
+            eventlet.sleep(WATCH_S)
+
     def check_bounds(self):
         """Checks that the process lives within its settings' limits."""
         used = self.measured()
