Server: unread bytes and the store's connections count against the limits

Bytes that a client has sent and the process has not read belong to the VM's memory, and the kernel lets them grow to megabytes a connection. A request that is answered may open a connection to the store. Cause: the limit on connections counted the process's own memory and one descriptor for each.

The receive buffer has a fixed size, and a connection counts with it and with three descriptors; those that can't be sockets are left out. Where all connections are being answered, accepting waits: the next ones stay in the backlog, where they were closed without an answer.

--- a/packages/wisterialug-daemon/src/wisterialug_daemon/http/connections.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/http/connections.py
@@ -70,10 +70,9 @@
         return len(self._open)
 
     def add(self, conn: Connection) -> bool:
-        """Admits a connection; returns False if there is no room for it."""
+        """Admits a connection; returns False while there is no room for it."""
         while len(self._open) >= self.limits.max_connections:
             if not self.end_one(request_errors.Reason.DISCONNECTED):
-                self.note(request_errors.Reason.NO_CONNECTION_FREE)
                 return False
         self._open.add(conn)
         return True
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/http/limits.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/http/limits.py
@@ -16,11 +16,16 @@
 DEFAULT_MAX_FDS = 4096
 # Of the memory: unfinished and unanswered requests, and open connections.
 REQUEST_MEMORY_SHARE = 1 / 8
-CONNECTION_MEMORY_SHARE = 1 / 8
-# A greenlet with its frames, parsed headers and buffers.
-CONNECTION_BYTES = 32_768
-# The rest is for the store, workers, peers and the log.
-CONNECTION_FDS_SHARE = 1 / 2
+CONNECTION_MEMORY_SHARE = 1 / 4
+# Bytes of a connection that were received and not read count as memory, too. The
+# kernel doubles the size that is asked for.
+RECEIVE_BUFFER_BYTES = 32_768
+# A greenlet with its frames and buffers, and the kernel's buffer.
+CONNECTION_BYTES = 32_768 + 2 * RECEIVE_BUFFER_BYTES
+# Descriptors that can't be sockets.
+FILE_FDS = 200
+# A request may open a connection to the store; workers and peers need some, too.
+FDS_PER_CONNECTION = 3
 MIN_CONNECTIONS = 8
 
 MAX_REQUEST_LINE_BYTES = 8192
@@ -127,7 +132,7 @@
     memory_bytes = memory_mb * BYTES_PER_MB
     connections = min(
         memory_bytes * CONNECTION_MEMORY_SHARE / CONNECTION_BYTES,
-        max_fds * CONNECTION_FDS_SHARE,
+        (max_fds - FILE_FDS) / FDS_PER_CONNECTION,
     )
     share = PORT_SHARES[port]
     return PortLimits(
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/http/request_errors.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/http/request_errors.py
@@ -21,6 +21,7 @@
     NO_MEMORY = "no-memory"
     # Ended in favour of a new connection, or of another request.
     DISCONNECTED = "disconnected"
+    # All connections are being answered; accepting waits.
     NO_CONNECTION_FREE = "no-connection-free"
     NO_DESCRIPTOR_FREE = "no-descriptor-free"
     SEND_TIMEOUT = "send-timeout"
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/http/server.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/http/server.py
@@ -4,6 +4,7 @@
 
 import contextlib
 import errno
+import socket
 import time
 from typing import TYPE_CHECKING
 
@@ -63,6 +64,12 @@
         self._socket = eventlet.listen(
             (ip, port), backlog=BACKLOG, reuse_port=False
         )
+        # Before the first connection: accepted sockets inherit it.
+        self._socket.setsockopt(
+            socket.SOL_SOCKET,
+            socket.SO_RCVBUF,
+            limits.RECEIVE_BUFFER_BYTES,
+        )
         if port_limits is None:
             port_limits = limits.port_limits(name)
         self._connections = connections.Connections(name.value, port_limits)
@@ -127,8 +134,9 @@
                 continue
             conn = connections.Connection(sock, client)
             if not self._connections.add(conn):
-                sock.close()
-                continue
+                self._connections.note(request_errors.Reason.NO_CONNECTION_FREE)
+                while not self._connections.add(conn):
+                    eventlet.sleep(ACCEPT_PAUSE_S)
             self._pool.spawn_n(self._serve, conn)
 
     def _serve(self, conn: connections.Connection) -> None:
--- a/tests/test_daemon/test_http_limits.py
+++ b/tests/test_daemon/test_http_limits.py
@@ -105,11 +105,13 @@
             for port in limits.Port
         ]
         connections = sum(port.max_connections for port in ports)
-        self.assertTrue(connections <= MAX_FDS / 2)
+        self.assertTrue(
+            connections * limits.FDS_PER_CONNECTION <= MAX_FDS - limits.FILE_FDS
+        )
         self.assertTrue(
             sum(port.max_held_bytes for port in ports)
             + connections * limits.CONNECTION_BYTES
-            <= MEMORY_MB * limits.BYTES_PER_MB / 4
+            <= MEMORY_MB * limits.BYTES_PER_MB * 3 / 8
         )
 
     def test_one_body_has_room_on_the_smallest_vm(self):
