Server: an ended or idle connection keeps no request

An unfinished request that was ended in favour of others kept its buffer until its greenlet ran, which may wait for its turn to decode; a connection between requests kept the head of the last one, parsed, uncounted. Cause: bytes were released before what holds them. The buffer belongs to the connection and is cleared when it is ended; what was parsed is dropped after each response.

--- a/packages/wisterialug-daemon/src/wisterialug_daemon/http/connections.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/http/connections.py
@@ -21,6 +21,7 @@
     Attributes:
       ended: Whether this process has ended it in favour of others.
       last_request: Whether it is to be closed after the current request.
+      body: What has arrived of the body that is being read.
     """
 
     def __init__(
@@ -31,6 +32,7 @@
         self.client = client
         self.ended = False
         self.last_request = False
+        self.body = bytearray()
 
     # Two connections are never the same one.
     __eq__ = object.__eq__
@@ -124,6 +126,8 @@
 
     def _end(self, conn: Connection, reason: request_errors.Reason) -> None:
         conn.ended = True
+        # Its greenlet may wait for its turn: the memory is needed now.
+        conn.body.clear()
         conn.shut_down()
         self.remove(conn)
         self.note(reason)
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/http/framing.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/http/framing.py
@@ -77,12 +77,12 @@
     """Decodes a chunked body into one buffer.
 
     Attributes:
-      body: What has been decoded.
+      body: What has been decoded, appended to the given buffer.
       chunks: How many chunks have begun.
     """
 
-    def __init__(self, max_body_bytes: int) -> None:
-        self.body = bytearray()
+    def __init__(self, max_body_bytes: int, body: bytearray) -> None:
+        self.body = body
         self.chunks = 0
         self._max_body_bytes = max_body_bytes
         self._part = _Part.SIZE
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/http/protocol.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/http/protocol.py
@@ -58,7 +58,7 @@
         self.close_connection = False
         while not self.close_connection:
             self.handle_one_request()
-            self._port.release(self._conn)
+            self._forget_request()
             if self._conn.last_request:
                 break
             self._conn.answered = True
@@ -98,6 +98,15 @@
             if eventlet.support.get_errno(exc) not in eventlet.wsgi.BROKEN_SOCK:
                 raise
 
+    def _forget_request(self) -> None:
+        """Drops what a connection between requests would keep."""
+        self.environ = self.headers = None
+        self.rfile = io.BytesIO()
+        self.raw_requestline = b""
+        self.requestline = self.path = ""
+        self._conn.body = bytearray()
+        self._port.release(self._conn)
+
     def get_environ(self) -> dict:
         """Returns the environment of the request."""
         environ = super().get_environ()
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/http/request_body.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/http/request_body.py
@@ -134,6 +134,7 @@
             self._data = self._read_chunks(max_bytes, until_s)
         else:
             self._data = self._read_length(length, until_s)
+        conn.body = bytearray()
         self.complete = True
         conn.enter(limits.State.ANSWERING)
 
@@ -143,7 +144,7 @@
         if len(early) >= length:
             self._reader.keep(early[length:])
             return early[:length]
-        data = bytearray(early)
+        data = self._conn.body = bytearray(early)
         while len(data) < length:
             size = min(length - len(data), streams.RECEIVE_BODY_BYTES)
             piece = self._receive(size, until_s)
@@ -152,7 +153,8 @@
         return bytes(data)
 
     def _read_chunks(self, max_bytes: int, until_s: float) -> bytes:
-        decoder = framing.ChunkedDecoder(max_bytes)
+        self._conn.body = bytearray()
+        decoder = framing.ChunkedDecoder(max_bytes, self._conn.body)
         piece = self._reader.take_early()
         while True:
             before = len(decoder.body)
--- a/tests/test_daemon/test_http_limits.py
+++ b/tests/test_daemon/test_http_limits.py
@@ -13,7 +13,7 @@
 
 def decode(data, piece=None):
     """Returns the decoder after all bytes, and what follows the body."""
-    decoder = framing.ChunkedDecoder(MAX_BODY)
+    decoder = framing.ChunkedDecoder(MAX_BODY, bytearray())
     piece = piece or len(data)
     rest = b""
     for begin in range(0, len(data), piece):
--- a/tests/test_daemon/test_http_server_limits.py
+++ b/tests/test_daemon/test_http_server_limits.py
@@ -1,6 +1,7 @@
 """Tests of the HTTP server beside clients that misbehave."""
 
 import dataclasses
+import errno
 
 import eventlet
 import testtools
@@ -171,6 +172,24 @@
         self.assertEqual(0, len(self.connections))
         del conn
 
+    def test_accepting_goes_on_without_a_free_descriptor(self):
+        listening = self.server._socket
+        accept, idle = listening.accept, self.send(GET)
+        idle.recv(4096)
+        errors = [errno.EMFILE, errno.ECONNABORTED]
+
+        def fail_first():
+            if errors:
+                raise OSError(errors.pop(0), "")
+            return accept()
+
+        listening.accept = fail_first
+        # Accepted by the call that waited already.
+        self.assertEqual([200], self.statuses(LAST_GET))
+        self.assertEqual([200], self.statuses(LAST_GET))
+        self.assertEqual([], errors)
+        self.assertEqual(b"", idle.recv(4096))
+
 
 class NoRoomTest(ServerTest):
     LIMITS = limits.PortLimits(max_connections=8, max_held_bytes=800)
