--- a/tests/test_platform/test_decoding.py
+++ b/tests/test_platform/test_decoding.py
@@ -197,6 +197,19 @@
             self.assertIn(text, str(exc))
 
 
+class TimeoutTest(testtools.TestCase):
+    def test_values_of_the_header(self):
+        for text, expected in (
+            ("", front.DEFAULT_TIMEOUT_MS),
+            ("-1", front.DEFAULT_TIMEOUT_MS),
+            ("1e9", front.DEFAULT_TIMEOUT_MS),
+            ("2500", 2500),
+            ("99999999", front.MAX_TIMEOUT_MS),
+            ("9" * 5000, front.MAX_TIMEOUT_MS),
+        ):
+            self.assertEqual(expected, front.timeout_ms(text))
+
+
 def read(text):
     """Reads settings from a file with this text."""
     with tempfile.TemporaryDirectory() as folder:
@@ -225,6 +238,16 @@
             ("advice", "orders=heartbeat", "upkeep"), cfg.unsupported
         )
 
+    def test_memory_and_descriptors(self):
+        cfg = self.read(SETTINGS).ok_value
+        self.assertEqual((512, 4096), (cfg.memory_mb, cfg.max_fds))
+        text = "cores = 2\nmemory_mb = 200\nmax_fds = {}"
+        cfg = self.read(SETTINGS.replace("cores = 2", text.format(4100)))
+        self.assertEqual(200, cfg.ok_value.memory_mb)
+        self.assertEqual(4100, cfg.ok_value.max_fds)
+        cfg = self.read(SETTINGS.replace("cores = 2", text.format(0)))
+        self.assertEqual("limits.max_fds", cfg.err_value.field)
+
     def test_link(self):
         cfg = self.read(
             SETTINGS.replace("cores = 2", "cores = 2\nlink_mbps = 5")
