--- a/packages/wisterialug-daemon/src/wisterialug_daemon/http/server.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/http/server.py
@@ -1,9 +1,10 @@
-"""WSGI servers on eventlet, with a graceful shutdown."""
+"""WSGI servers on eventlet, with limits and a graceful shutdown."""
 
 from __future__ import annotations
 
 import contextlib
-import json
+import errno
+import socket
 import time
 from typing import TYPE_CHECKING
 
@@ -11,73 +12,81 @@
 import eventlet.greenthread
 import eventlet.patcher
 import eventlet.wsgi
+from absl import logging
+
+from wisterialug_daemon.http import (
+    connections,
+    limits,
+    protocol,
+    request_errors,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
 
-    StartResponse = Callable[[str, list[tuple[str, str]]], object]
-
 # Not patched by eventlet: polls without yielding to other greenlets.
 _select = eventlet.patcher.original("select")
 
 BACKLOG = 512
-MAX_CONNECTIONS = 4096
-KEEPALIVE_S = 75.0
+# Greenlets of connections that were ended and have not noticed yet.
+ENDING_CONNECTIONS = 64
 # On close: limit for accepting connections from the backlog, and time for
 # their greenlets to start on requests that have arrived.
 ACCEPT_BACKLOG_S = 0.5
 REQUEST_START_S = 0.05
-
-_REASON_PHRASES = {
-    200: "OK",
-    201: "Created",
-    400: "Bad Request",
-    401: "Unauthorized",
-    403: "Forbidden",
-    404: "Not Found",
-    405: "Method Not Allowed",
-    409: "Conflict",
-    410: "Gone",
-    411: "Length Required",
-    413: "Content Too Large",
-    422: "Unprocessable Content",
-    429: "Too Many Requests",
-    500: "Internal Server Error",
-    503: "Service Unavailable",
-    504: "Gateway Timeout",
-}
-
-
-class _Protocol(eventlet.wsgi.HttpProtocol):
-    """HTTP/1.1 protocol handler."""
-
-    protocol_version = "HTTP/1.1"
+# Accepted in a row before other greenlets run.
+ACCEPTED_IN_A_ROW = 32
+ACCEPT_PAUSE_S = 0.05
+_NO_DESCRIPTOR = {errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM}
+_CLOSED = {errno.EBADF, errno.EINVAL, errno.ENOTSOCK}
 
 
 class WsgiServer:
-    """Serves one WSGI application on one port."""
+    """Serves one WSGI application on one port.
+
+    Args:
+      ip: Address to listen on.
+      port: Port to listen on; 0 for any free one.
+      application: The WSGI application.
+      port_limits: What clients may hold.
+      name: Value of the label `port` in metrics and log lines.
+    """
 
     def __init__(
-        self, ip: str, port: int, application: Callable[..., Iterable[bytes]]
+        self,
+        ip: str,
+        port: int,
+        application: Callable[..., Iterable[bytes]],
+        port_limits: limits.PortLimits | None = None,
+        name: limits.Port = limits.Port.CALLERS,
     ) -> None:
         # A restarted daemon must not listen beside its previous process.
         self._socket = eventlet.listen(
             (ip, port), backlog=BACKLOG, reuse_port=False
         )
-        self._pool = eventlet.GreenPool(MAX_CONNECTIONS)
-        # Receives eventlet's server, which reads its `keepalive` per response.
-        self._started = eventlet.event.Event()
-        self._thread = eventlet.spawn(
-            eventlet.wsgi.server,
+        # Before the first connection: accepted sockets inherit it.
+        self._socket.setsockopt(
+            socket.SOL_SOCKET,
+            socket.SO_RCVBUF,
+            limits.RECEIVE_BUFFER_BYTES,
+        )
+        if port_limits is None:
+            port_limits = limits.port_limits(name)
+        self._connections = connections.Connections(name.value, port_limits)
+        self._pool = eventlet.GreenPool(
+            port_limits.max_connections + ENDING_CONNECTIONS
+        )
+        self._server = eventlet.wsgi.Server(
             self._socket,
+            self._socket.getsockname(),
             application,
-            server_event=self._started,
-            custom_pool=self._pool,
-            protocol=_Protocol,
-            keepalive=KEEPALIVE_S,
+            protocol=protocol.Protocol,
+            keepalive=port_limits.idle_s,
             log_output=False,
             debug=False,
         )
+        self._server.connections = self._connections
+        self._thread = eventlet.spawn(self._accept)
 
     @property
     def port(self) -> int:
@@ -86,7 +95,7 @@
 
     def end_keepalive(self) -> None:
         """Closes each connection after its next response."""
-        self._started.wait().keepalive = False
+        self._server.keepalive = False
 
     def close(self, timeout_s: float = 0.0) -> None:
         """Stops accepting, then waits for requests in flight.
@@ -99,10 +108,53 @@
         # No greenlet may wait on a closed socket.
         eventlet.greenthread.kill(self._thread)
         self._socket.close()
+        self._connections.close_unused()
         with contextlib.suppress(eventlet.Timeout):
             with eventlet.Timeout(max(0.01, timeout_s)):
                 self._pool.waitall()
 
+    def _accept(self) -> None:
+        in_a_row = 0
+        while True:
+            in_a_row += 1
+            if in_a_row >= ACCEPTED_IN_A_ROW:
+                in_a_row = 0
+                eventlet.sleep(0)
+            try:
+                sock, client = self._socket.accept()
+            except OSError as exc:
+                if exc.errno in _CLOSED:
+                    return
+                if exc.errno in _NO_DESCRIPTOR:
+                    reason = request_errors.Reason.NO_DESCRIPTOR_FREE
+                    if not self._connections.end_one(reason):
+                        self._connections.note(reason)
+                    eventlet.sleep(ACCEPT_PAUSE_S)
+                # Others concern one connection that has gone.
+                continue
+            conn = connections.Connection(sock, client)
+            if not self._connections.add(conn):
+                self._connections.note(request_errors.Reason.NO_CONNECTION_FREE)
+                while not self._connections.add(conn):
+                    eventlet.sleep(ACCEPT_PAUSE_S)
+            self._pool.spawn_n(self._serve, conn)
+
+    def _serve(self, conn: connections.Connection) -> None:
+        try:
+            protocol.Protocol(
+                [conn.client, conn.sock, eventlet.wsgi.STATE_IDLE, conn],
+                self._server,
+            )
+        except OSError:
+            # The client has left.
+            pass
+        except Exception:  # noqa: BLE001 - reported; ends one connection only
+            logging.exception("connection failed")
+        finally:
+            self._connections.remove(conn)
+            conn.shut_down()
+            conn.sock.close()
+
     def _accept_backlog(self) -> None:
         poll = _select.poll()
         poll.register(self._socket.fileno(), _select.POLLIN)
@@ -113,27 +165,3 @@
             eventlet.sleep(0)
         if accepted:
             eventlet.sleep(REQUEST_START_S)
-
-
-def status_line(status: int) -> str:
-    """Returns a status with its reason phrase."""
-    return f"{status} {_REASON_PHRASES.get(status, 'Status')}"
-
-
-def json_response(
-    start_response: StartResponse,
-    status: int,
-    body: object,
-    headers: Iterable[tuple[str, str]] = (),
-) -> list[bytes]:
-    """Sends a response with a JSON body."""
-    data = json.dumps(body).encode()
-    start_response(
-        status_line(status),
-        [
-            ("Content-Type", "application/json"),
-            ("Content-Length", str(len(data))),
-            *headers,
-        ],
-    )
-    return [data]
