--- a/packages/wisterialug-core/src/wisterialug_core/workflow/leases.py
+++ b/packages/wisterialug-core/src/wisterialug_core/workflow/leases.py
@@ -9,7 +9,7 @@
 # No lease ends later than this after its owner's last renewal. A new owner waits
 # for that long for the runs of workers that it can't reach; an outage of the
 # store that is longer ends all runs.
-HORIZON_S = 6.5
+HORIZON_S = 7.5
 # Longest time that a call for an ended incarnation may be under way.
 MAX_CALL_DELAY_S = 8.0
 
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/shard_store.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/shard_store.py
@@ -29,7 +29,7 @@
 SCAN_TIMEOUT_S = 2.0
 PARALLEL_SCANS = 8
 FIRST_RETRY_S = 0.05
-MAX_RETRY_S = 0.4
+MAX_RETRY_S = 0.2
 # The platform accepts 100 entries per call; the owner adds its own rows.
 MAX_ROWS = 90
 
