Changed jobs are recorded in the order in which they changed

Cause: a commit holds some 40 rows, and the changed jobs were taken from a set, in the order of their hashes, in each commit anew. Where more jobs change than a commit holds, those that come last are not recorded for as long as this lasts. A task that is placed is active for its owner, but its start is sent only once its job is recorded.

Change: the jobs are kept in the order in which they changed; one that was recorded goes to the end.

Result: StarvedRecordTest failed before (40 of 160 jobs recorded in four commits) and passes. test_large_commits, test_job_table pass.

--- a/packages/wisterialug-core/src/wisterialug_core/workflow/job_table.py
+++ b/packages/wisterialug-core/src/wisterialug_core/workflow/job_table.py
@@ -5,6 +5,7 @@
 from wisterialug_core.decisions import resources
 from wisterialug_core.schema import workflow_pb2
 from wisterialug_core.workflow import (
+    changed_jobs,
     crash_evidence,
     job_entry,
     model,
@@ -46,7 +47,7 @@
 
     def __init__(self) -> None:
         self.jobs: dict[str, job_entry.JobEntry] = {}
-        self.dirty: set[str] = set()
+        self.dirty = changed_jobs.ChangedJobs()
         self.suspects: dict[model.TaskKey, model.Task] = {}
         self.open_jobs: dict[str, job_entry.JobEntry] = {}
         # Ids of recently dropped jobs, oldest first.
