--- a/tests/test_core/test_workflow/test_stopped_tasks.py
+++ b/tests/test_core/test_workflow/test_stopped_tasks.py
@@ -188,3 +188,18 @@
     def test_finite_tasks_and_gangs_are_left_out(self):
         self.assertEqual([], self.overdue(9000))
         self.assertEqual([], self.overdue(9000, long_running=True, gang=True))
+
+
+class RejectedStartTest(testtools.TestCase):
+    def test_rejected_start_counts_as_a_run(self):
+        jobs = job_table.JobTable()
+        job = workflow_pb2.Job(id="1")
+        job.steps.add(count=1, cpu_millicores=1000, long_running=True)
+        entry = jobs.add(job)
+        (task,) = entry.group(model.GroupKey("1", 0, 0))
+        jobs.start(task, "w1", 1, 0.0)
+        task.phase = model.Phase.RUNNING
+        jobs.end(task, model.RunEnd.STOPPED, "", 1000)
+        jobs.start(task, "w2", 2, 1.0)
+        jobs.end(task, model.RunEnd.LOST, "", 6000)
+        self.assertEqual(1000, task.last_run_end_ms)
