--- a/packages/wisterialug-core/src/wisterialug_core/workflow/job_table.py
+++ b/packages/wisterialug-core/src/wisterialug_core/workflow/job_table.py
@@ -187,12 +187,7 @@
         if end is model.RunEnd.FAILED:
             task.failed_on = (*task.failed_on, task.worker)
         task.worker = ""
-        # A run that is not known to have begun was none.
-        if (
-            end is not model.RunEnd.LOST
-            or task.phase is not model.Phase.STARTING
-        ):
-            task.last_run_end_ms = now_ms
+        task.note_run_end(end, now_ms)
         entry.active -= 1
         if checkpoint:
             task.checkpoint = checkpoint
--- a/packages/wisterialug-core/src/wisterialug_core/workflow/model.py
+++ b/packages/wisterialug-core/src/wisterialug_core/workflow/model.py
@@ -188,6 +188,11 @@
         self.borrowed_s = 0.0
         self.crash_evidence.begin_run()
 
+    def note_run_end(self, end: RunEnd, now_ms: int) -> None:
+        """Notes when a run ended; one that is not known to have begun is none."""
+        if end is not RunEnd.LOST or self.phase is not Phase.STARTING:
+            self.last_run_end_ms = now_ms
+
     def is_active_on(self, worker: str, run: int) -> bool:
         """Returns whether a run is the active one, on this worker."""
         return self.worker == worker and self.run == run
