--- a/packages/wisterialug-core/src/wisterialug_core/workflow/awaited_workers.py
+++ b/packages/wisterialug-core/src/wisterialug_core/workflow/awaited_workers.py
@@ -4,6 +4,7 @@
 owner that granted them knows when; the next one would have to assume the longest
 time. So each renewal lists the workers that are waited for, with the time left. An
 owner grants no lease to a worker while a renewal that may be in force lists it.
+Workers that restarted under their names are listed apart: they are asked as usual.
 """
 
 from __future__ import annotations
