Split the answers of the store from its client

Paths and the meaning of answers move to store_answers.py; no logic changes (test_store 14, test_boundary 3 pass).

--- a/tests/test_platform/test_store.py
+++ b/tests/test_platform/test_store.py
@@ -7,7 +7,7 @@
 
 import result
 import testtools
-from wisterialug_platform import http_client, store
+from wisterialug_platform import http_client, store, store_answers
 
 from wisterialug_core.workflow import relay_choice
 from wisterialug_daemon.workflow import clock, errors, row_store
@@ -115,7 +115,7 @@
         outcome = self.commit(
             lambda address: {
                 "store": response(429),
-                "p1": response(store.RELAY_NOT_SENT_STATUS),
+                "p1": response(store_answers.RELAY_NOT_SENT_STATUS),
             }.get(address, response(200, ver=7))
         )
         self.assertEqual(7, outcome.ok_value)
