A config is read in several ways side by side, within the bound of the settings

Cause: attempts followed each other, each with a fixed time: a silent direct call 1.8 s, an unreachable relay 1.5 s (the first of three took the time of all), a pause of 0.2 s; a second after a failure the direct way came first again. No time came from the settings' bound.

Change: the config's reads begin with the way that answered last. If it is silent or fails, others begin beside it in waves, on new connections: the store again and two relays, then three more, of this data centre and of others in turn. The first answer that begins ends the others, as they share the link; one that has begun is never given up for a newer attempt. Watch, attempts and pauses are shares of bounds.config_ms (config_timing adds them up to 0.75 of it); they grow while nothing answers, for a store that is slow. After lost history the config is read at once.

--- a/packages/wisterialug-core/src/wisterialug_core/workflow/relay_choice.py
+++ b/packages/wisterialug-core/src/wisterialug_core/workflow/relay_choice.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import itertools
 from typing import TYPE_CHECKING, NamedTuple
 
 if TYPE_CHECKING:
@@ -24,10 +25,12 @@
 
     Attributes:
       link_kbps: Capacity of its link; 0 if it is not known.
+      nearby: It is in the same data centre.
     """
 
     address: str
     link_kbps: int
+    nearby: bool = False
 
 
 class RelayChoice:
@@ -40,13 +43,19 @@
         self._failed_until_s: dict[str, float] = {}
         self._latest = ""
 
+    @property
+    def latest(self) -> str:
+        """Returns the VM that responded last; empty if none has."""
+        return self._latest
+
     def candidates(
         self, peers: Iterable[Peer], now_s: float, count: int
     ) -> list[str]:
         """Returns the addresses to be tried, in order.
 
         Sound VMs come before those that have just failed, then wide links
-        before thin ones, then the VM that responded last.
+        before thin ones, then the VM that responded last. VMs of this data
+        centre and of others take turns: either may be out of reach.
         """
         peers = list(peers)
         widest = max((peer.link_kbps for peer in peers), default=0)
@@ -59,7 +68,8 @@
                 self._places.setdefault(peer.address, self._rng.random()),
             )
 
-        return [peer.address for peer in sorted(peers, key=rank)[:count]]
+        ordered = sorted(peers, key=rank)
+        return [peer.address for peer in _alternate(ordered)][:count]
 
     def note(self, address: str, now_s: float, *, responded: bool) -> None:
         """Notes whether a VM has relayed a call."""
@@ -68,3 +78,15 @@
             self._failed_until_s.pop(address, None)
         else:
             self._failed_until_s[address] = now_s + FAILED_S
+
+
+def _alternate(peers: list[Peer]) -> list[Peer]:
+    """Lets nearby and remote VMs take turns, each kind in its order."""
+    if not peers:
+        return []
+    kinds = [
+        [peer for peer in peers if peer.nearby is nearby]
+        for nearby in (peers[0].nearby, not peers[0].nearby)
+    ]
+    pairs = itertools.zip_longest(*kinds)
+    return [peer for pair in pairs for peer in pair if peer is not None]
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/config_watch.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/config_watch.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
 import eventlet
 
+from wisterialug_core.workflow import config_timing
 from wisterialug_daemon import logs, metrics
 from wisterialug_daemon.workflow import (
     clock,
@@ -18,9 +20,7 @@
     from wisterialug_core.workflow import routes
     from wisterialug_daemon.workflow import sources
 
-# A watch may get no response; changes must take effect within two seconds.
-WATCH_WAIT_S = 0.8
-RETRY_S = 0.2
+DEFAULT_TIMING = config_timing.ConfigTiming()
 
 
 class ConfigWatch:
@@ -32,7 +32,10 @@
     """
 
     def __init__(
-        self, source: sources.ConfigSource, evacuated_within_ms: int | None
+        self,
+        source: sources.ConfigSource,
+        evacuated_within_ms: int | None,
+        timing: config_timing.ConfigTiming = DEFAULT_TIMING,
     ) -> None:
         """Creates a watch.
 
@@ -40,14 +43,18 @@
           source: The config.
           evacuated_within_ms: Time within which an evacuation must be in
             force; None where data centres are not evacuated.
+          timing: Times of the attempts.
         """
         self.table: routes.RouteTable | None = None
         self.evacuations = evacuation_view.EvacuationView(evacuated_within_ms)
-        max_age_s = self.evacuations.max_age_s or WATCH_WAIT_S * 4
-        self._wait_s = min(WATCH_WAIT_S, max_age_s / 4)
+        max_age_s = self.evacuations.max_age_s or math.inf
+        self._wait_s = min(timing.wait_s, max_age_s / 4)
+        self._retry_s = timing.retry_s
         self._source = source
         self._greenlets = pool.Greenlets()
         self._connected = True
+        # The history was lost, and nothing has been read since.
+        self._history_lost = False
 
     def start(self) -> None:
         """Starts to follow the config."""
@@ -72,6 +79,8 @@
                 cursor = self._recover(outcome.err_value, cursor, asked_s)
                 continue
             self._set_connected(True, "")
+            if cursor >= 0:
+                self._history_lost = False
             way = "read" if cursor < 0 else "watch"
             cursor = outcome.ok_value.cursor
             self._apply(outcome.ok_value, way)
@@ -93,8 +102,12 @@
             error=str(error),
         )
         self._set_connected(False, str(error))
-        eventlet.sleep(RETRY_S)
-        return -1 if isinstance(error, errors.HistoryLostError) else cursor
+        lost = isinstance(error, errors.HistoryLostError)
+        # What is read after a loss may be behind, and be lost as well.
+        if not lost or self._history_lost:
+            eventlet.sleep(self._retry_s)
+        self._history_lost = lost
+        return -1 if lost else cursor
 
     def _apply(self, change: sources.ConfigChange, way: str) -> None:
         table = change.table
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/members.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/members.py
@@ -44,7 +44,11 @@
     def peers(self) -> list[relay_choice.Peer]:
         """Returns the other VMs."""
         return [
-            relay_choice.Peer(f"{member.ip}:{member.port}", member.link_kbps)
+            relay_choice.Peer(
+                f"{member.ip}:{member.port}",
+                member.link_kbps,
+                nearby=member.data_centre == self._own.data_centre,
+            )
             for name, member in self.by_name.items()
             if name != self._node
         ]
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/row_store.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/row_store.py
@@ -90,18 +90,8 @@
         return f"transaction conflict: {len(self.rows)} rows changed"
 
 
-class RowStore(abc.ABC):
-    """A store that loses no acknowledged change."""
-
-    def outage_s(self) -> float:
-        """Returns for how long no call has succeeded; 0 if the last one did."""
-        return 0.0
-
-    @abc.abstractmethod
-    def commit(
-        self, transaction: Transaction, timeout_s: float
-    ) -> result.Result[int, errors.StoreError]:
-        """Changes all rows or none; returns the version of the change."""
+class RowReader(abc.ABC):
+    """What can be read of a store."""
 
     @abc.abstractmethod
     def scan(
@@ -134,6 +124,20 @@
         """
 
 
+class RowStore(RowReader):
+    """A store that loses no acknowledged change."""
+
+    def outage_s(self) -> float:
+        """Returns for how long no call has succeeded; 0 if the last one did."""
+        return 0.0
+
+    @abc.abstractmethod
+    def commit(
+        self, transaction: Transaction, timeout_s: float
+    ) -> result.Result[int, errors.StoreError]:
+        """Changes all rows or none; returns the version of the change."""
+
+
 def scan_row(
     store: RowStore, ref: RowRef, timeout_s: float
 ) -> result.Result[Snapshot, errors.StoreError]:
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/settings.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/settings.py
@@ -27,6 +27,8 @@
       row_bytes: Largest size of a row of the store.
       evacuated_within_ms: Time within which no more runs start in a data centre
         that is taken out of service; None where that is not provided for.
+      config_within_ms: Time from the acknowledgement of a config until it is
+        in force.
     """
 
     node: str
@@ -43,6 +45,7 @@
     unlisted_after_s: float = 4.0
     row_bytes: int = 65_536
     evacuated_within_ms: int | None = None
+    config_within_ms: int = 2000
 
     @property
     def page_bytes(self) -> int:
--- a/tests/test_core/test_workflow/test_relay_choice.py
+++ b/tests/test_core/test_workflow/test_relay_choice.py
@@ -54,3 +54,15 @@
         peers = [relay_choice.Peer(f"vm{n}", 0) for n in range(5)]
         self.assertEqual(3, len(self.choice().candidates(peers, 0.0, 3)))
         self.assertEqual([], self.choice().candidates([], 0.0, 3))
+
+    def test_all_relays_that_are_tried_stand_in_one_data_centre(self):
+        peers = [
+            relay_choice.Peer(f"{'near' if nearby else 'far'}{n}", 0, nearby)
+            for nearby, count in ((True, 2), (False, 6))
+            for n in range(count)
+        ]
+        for seed in range(20):
+            chosen = self.choice(seed).candidates(peers, 0.0, 2)
+            self.assertEqual(
+                1, sum(address.startswith("near") for address in chosen), chosen
+            )
--- a/tests/test_platform/test_evacuation_rows.py
+++ b/tests/test_platform/test_evacuation_rows.py
@@ -123,7 +123,7 @@
         self.assertIsNone(self.seen())
         self.rows.down = False
         # A watch that nothing answers for long would let owners wait.
-        eventlet.sleep(config_watch.RETRY_S + 0.1)
+        eventlet.sleep(config_watch.DEFAULT_TIMING.retry_s + 0.1)
         self.assertEqual(["dc1"], self.seen())
 
     def test_rows_are_not_read_where_the_platform_has_no_evacuations(self):
--- a/tests/test_platform/test_store.py
+++ b/tests/test_platform/test_store.py
@@ -41,8 +41,9 @@
         headers=None,
         *,
         limits=None,
+        sending=None,
     ):
-        del headers, limits
+        del headers, limits, sending
         self.calls.append((address, method, path, body))
         # urllib3 raises this for a timeout that is not positive.
         if timeout_s <= 0:
