--- a/tests/test_platform/test_config_paths.py
+++ b/tests/test_platform/test_config_paths.py
@@ -65,8 +65,8 @@
     return config_watch.ConfigWatch(source, None, timing)
 
 
-class ConfigPathsTest(testtools.TestCase):
-    """A VM whose direct path fails; another VM, or several, may relay."""
+class StorePathsTest(testtools.TestCase):
+    """Provides paths to a store, directly and through other VMs."""
 
     def setUp(self):
         super().setUp()
@@ -94,6 +94,10 @@
         self.peers.append(relay_choice.Peer(path.address, 0, nearby=nearby))
         return path
 
+
+class ConfigPathsTest(StorePathsTest):
+    """A VM whose direct path fails; another VM, or several, may relay."""
+
     def follow(self, seed=1):
         self.client = http_client.HttpClient()
         self.addCleanup(self.client.close)
@@ -235,3 +239,20 @@
         eventlet.sleep(3.0)
         self.assertLess(len(self.store.requests) - before, 25)
         self.check_in_force(watch, self.write())
+
+
+class OtherCallsTest(StorePathsTest):
+    """Calls other than those for the config, one attempt after the other."""
+
+    def test_unreachable_relay_takes_the_time_of_all(self):
+        for _ in range(2):
+            self.add_relay().begin(Fault.CONNECT_HANGS)
+        self.add_relay()
+        self.direct.begin(Fault.RESET)
+        client = http_client.HttpClient()
+        self.addCleanup(client.close)
+        rows = store.PlatformStore(
+            client, self.direct.address, lambda: self.peers, random.Random(1)
+        )
+        outcome = rows.scan(store.OPERATOR_TABLE, "", timeout_s=1.0)
+        self.assertTrue(outcome.is_ok())
