A VM that may not know the newest config denies no route

No reading is fast enough there. Cause: an answer rests on the config in force, however long ago it was known to be the newest.

An answer of the store confirms the config as of when it began, and no later than it was expected. Jobs for routes that are known are taken as before.

--- a/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/config_watch.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/config_watch.py
@@ -49,10 +49,12 @@
         self.evacuations = evacuation_view.EvacuationView(evacuated_within_ms)
         max_age_s = self.evacuations.max_age_s or math.inf
         self._wait_s = min(timing.wait_s, max_age_s / 4)
-        self._retry_s = timing.retry_s
+        self._timing = timing
         self._source = source
         self._greenlets = pool.Greenlets()
         self._connected = True
+        # When the config in force was the newest, as far as is known.
+        self._confirmed_s = 0.0
         # The history was lost, and nothing has been read since.
         self._history_lost = False
 
@@ -64,6 +66,11 @@
         """Stops following the config."""
         self._greenlets.close()
 
+    def is_confirmed(self) -> bool:
+        """Returns whether no config in force elsewhere can be unknown here."""
+        age_s = clock.now_s() - self._confirmed_s
+        return self.table is not None and age_s <= self._timing.within_s
+
     def _run(self) -> None:
         cursor = -1
         while True:
@@ -84,6 +91,7 @@
             way = "read" if cursor < 0 else "watch"
             cursor = outcome.ok_value.cursor
             self._apply(outcome.ok_value, way)
+            self._confirm(outcome.ok_value, asked_s, wait_s)
             if outcome.ok_value.evacuations is not None:
                 self.evacuations.apply(outcome.ok_value.evacuations, asked_s)
 
@@ -105,7 +113,7 @@
         lost = isinstance(error, errors.HistoryLostError)
         # What is read after a loss may be behind, and be lost as well.
         if not lost or self._history_lost:
-            eventlet.sleep(self._retry_s)
+            eventlet.sleep(self._timing.retry_s)
         self._history_lost = lost
         return -1 if lost else cursor
 
@@ -140,6 +148,19 @@
             **fields,
         )
 
+    def _confirm(
+        self, change: sources.ConfigChange, asked_s: float, wait_s: float
+    ) -> None:
+        """Notes as of when the config in force is the newest.
+
+        An answer is as old as its body took to arrive. One that began later
+        than expected may have waited on the way, or for a VM that stood still.
+        """
+        body_s = change.transfer.body_s if change.transfer else 0.0
+        begun_s = clock.now_s() - body_s - change.decode_s
+        expected_s = asked_s + wait_s + self._timing.quiet_s()
+        self._confirmed_s = max(self._confirmed_s, min(begun_s, expected_s))
+
     def _set_connected(self, connected: bool, error: str) -> None:
         if connected != self._connected:
             self._connected = connected
--- a/tests/test_platform/test_config_paths.py
+++ b/tests/test_platform/test_config_paths.py
@@ -1,5 +1,6 @@
 """Configs that must be in force in time though paths to the store fail."""
 
+import io
 import json
 import random
 
@@ -12,6 +13,7 @@
 import testtools  # noqa: E402
 from wisterialug_platform import (  # noqa: E402
     config_source,
+    front,
     http_client,
     prompt_reads,
     relay,
@@ -240,6 +242,30 @@
         self.assertLess(len(self.store.requests) - before, 25)
         self.check_in_force(watch, self.write())
 
+    def status_of_unknown_route(self, watch):
+        started = []
+        environ = {
+            "wsgi.input": io.BytesIO(),
+            "REQUEST_METHOD": "GET",
+            "RAW_PATH_INFO": "/unknown/",
+            "HTTP_HOST": "h.example",
+        }
+        application = front.JobsApplication(None, watch)
+        application(environ, lambda *args: started.append(args))
+        return started[0][0][:3], dict(started[0][1]).get("Retry-After")
+
+    def test_route_is_denied_by_a_vm_that_may_not_know_it(self):
+        acked_s = self.write()
+        watch = self.follow()
+        self.check_in_force(watch, acked_s)
+        self.assertEqual(("404", None), self.status_of_unknown_route(watch))
+        self.direct.begin(Fault.SILENT)
+        eventlet.sleep(WITHIN_S + 0.1)
+        self.assertEqual(("503", "1"), self.status_of_unknown_route(watch))
+        self.direct.begin(Fault.NONE)
+        eventlet.sleep(2.5)
+        self.assertEqual(("404", None), self.status_of_unknown_route(watch))
+
 
 class OtherCallsTest(StorePathsTest):
     """Calls other than those for the config, one attempt after the other."""
