Draining workers and cancelled jobs are learned within their bounds too

An owner's watch of the workers and of its inbox ended after 2.0 s where its path went silent, then paused and asked one relay after the other: past bounds.drain_ms of 2.0 s and near bounds.cancel_ms of 3.0 s.

Change: the watches of owners are answered like those of the config, with times from their own bounds. ConfigTiming is ReadTiming now.

--- a/packages/wisterialug-core/src/wisterialug_core/workflow/config_timing.py
+++ b/packages/wisterialug-core/src/wisterialug_core/workflow/read_timing.py
@@ -1,8 +1,9 @@
-"""Times within which a VM learns a config, as parts of the promised bound.
+"""Times within which a VM learns a change, as parts of the promised bound.
 
-The load that it answers: operators change the config while the VM's path to the
-store goes silent and some of the VMs that could relay can't be reached. The
-attempts follow each other, so their times must add up to less than the bound.
+The load that it answers: operators change the config, or cancel jobs, or workers
+begin to drain, while the VM's path to the store goes silent and some of the VMs
+that could relay can't be reached. The attempts follow each other, so their times
+must add up to less than the bound.
 """
 
 from __future__ import annotations
@@ -23,11 +24,11 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class ConfigTiming:
-    """Times of the attempts to learn a config.
+class ReadTiming:
+    """Times of the attempts to learn a change.
 
     Attributes:
-      within_s: From the acknowledgement of a config until it is in force.
+      within_s: From the acknowledgement of a change until it is known here.
     """
 
     within_s: float = DEFAULT_WITHIN_S
@@ -56,17 +57,19 @@
         least_s = self.within_s * QUIET_SHARE
         return max(least_s, min(MAX_QUIET_S, least_s * 2 ** min(failures, 8)))
 
-    @property
-    def answered_within_s(self) -> float:
+    def answered_within_s(self, wait_s: float, spacing_s: float = 0.0) -> float:
         """Returns the time until an answer begins, if any attempt gets one.
 
-        The path of the watch goes silent just as the config changes; only an
+        The path of the watch goes silent just as something changes; only an
         attempt of the last wave is answered, after as long as it may take.
+
+        Args:
+          wait_s: How long the watch waits for a change.
+          spacing_s: Pause between two watches.
         """
-        return self.wait_s + WAVES * self.quiet_s()
+        return spacing_s + wait_s + WAVES * self.quiet_s()
 
-    @property
-    def answered_after_stall_s(self) -> float:
+    def answered_after_stall_s(self, wait_s: float) -> float:
         """Returns the same where an answer in an earlier wave stalls as well."""
-        stalled_s = self.wait_s + self.quiet_s() + self.stall_s
+        stalled_s = wait_s + self.quiet_s() + self.stall_s
         return stalled_s + (WAVES - 2) * self.quiet_s()
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/config_watch.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/config_watch.py
@@ -7,7 +7,7 @@
 
 import eventlet
 
-from wisterialug_core.workflow import config_timing
+from wisterialug_core.workflow import read_timing
 from wisterialug_daemon import logs, metrics
 from wisterialug_daemon.workflow import (
     clock,
@@ -20,7 +20,7 @@
     from wisterialug_core.workflow import routes
     from wisterialug_daemon.workflow import sources
 
-DEFAULT_TIMING = config_timing.ConfigTiming()
+DEFAULT_TIMING = read_timing.ReadTiming()
 
 
 class ConfigWatch:
@@ -35,7 +35,7 @@
         self,
         source: sources.ConfigSource,
         evacuated_within_ms: int | None,
-        timing: config_timing.ConfigTiming = DEFAULT_TIMING,
+        timing: read_timing.ReadTiming = DEFAULT_TIMING,
     ) -> None:
         """Creates a watch.
 
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/settings.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/settings.py
@@ -29,6 +29,8 @@
         that is taken out of service; None where that is not provided for.
       config_within_ms: Time from the acknowledgement of a config until it is
         in force.
+      drained_within_ms: Time after which a draining worker gets no runs.
+      cancelled_within_ms: Time after which a cancelled job gets no runs.
     """
 
     node: str
@@ -46,6 +48,8 @@
     row_bytes: int = 65_536
     evacuated_within_ms: int | None = None
     config_within_ms: int = 2000
+    drained_within_ms: int = 2000
+    cancelled_within_ms: int = 3000
 
     @property
     def page_bytes(self) -> int:
--- a/tests/test_platform/test_config_paths.py
+++ b/tests/test_platform/test_config_paths.py
@@ -21,12 +21,13 @@
 )
 
 from tests.test_platform import store_path, thin_store  # noqa: E402
-from wisterialug_core.workflow import config_timing, relay_choice  # noqa: E402
+from wisterialug_core.workflow import read_timing, relay_choice  # noqa: E402
 from wisterialug_daemon.http import server  # noqa: E402
 from wisterialug_daemon.workflow import (  # noqa: E402
     clock,
     config_watch,
     row_store,
+    shard_feeds,
 )
 from wisterialug_standins import memory_store  # noqa: E402
 
@@ -60,7 +61,7 @@
 def follow(client, address, peers, seed):
     """Follows the config as a VM does."""
     rows = store.PlatformStore(client, address, peers, random.Random(seed))
-    timing = config_timing.ConfigTiming(WITHIN_S)
+    timing = read_timing.ReadTiming(WITHIN_S)
     source = config_source.StoreConfigSource(
         prompt_reads.PromptReads(rows, timing), with_evacuations=False
     )
@@ -268,7 +269,55 @@
 
 
 class OtherCallsTest(StorePathsTest):
-    """Calls other than those for the config, one attempt after the other."""
+    """Calls other than those for the config."""
+
+    def reader(self, within_s):
+        client = http_client.HttpClient()
+        self.addCleanup(client.close)
+        rows = store.PlatformStore(
+            client, self.direct.address, lambda: self.peers, random.Random(1)
+        )
+        timing = read_timing.ReadTiming(within_s)
+        return prompt_reads.PromptStore(rows, timing)
+
+    def check_seen(self, within_s, wait_s, spacing_s):
+        """Follows a table as an owner does while the direct path is silent."""
+        for _ in range(2):
+            self.add_relay().begin(Fault.CONNECT_HANGS)
+        self.add_relay(nearby=True)
+        rows = self.reader(within_s)
+        seen = []
+
+        def watch(cursor):
+            while True:
+                outcome = rows.watch("t", cursor, wait_s)
+                if outcome.is_err():
+                    eventlet.sleep(shard_feeds.RETRY_S)
+                    continue
+                cursor = outcome.ok_value.version
+                seen.extend(row.value for row in outcome.ok_value.rows)
+                eventlet.sleep(spacing_s)
+
+        thread = eventlet.spawn(watch, self.rows.version())
+        self.addCleanup(thread.kill)
+        eventlet.sleep(0.5)
+        self.direct.begin(Fault.SILENT)
+        for number in range(3):
+            value = str(number).encode()
+            ref = row_store.RowRef("t", "", "k")
+            self.rows.commit(row_store.Transaction(writes=((ref, value),)), 1.0)
+            until_s = clock.now_s() + within_s
+            while value not in seen and clock.now_s() < until_s:
+                eventlet.sleep(0.02)
+            self.assertIn(value, seen)
+
+    def test_draining_worker_is_seen_too_late(self):
+        self.check_seen(
+            2.0, shard_feeds.REGISTRY_WAIT_S, shard_feeds.REGISTRY_SPACING_S
+        )
+
+    def test_cancel_is_seen_too_late(self):
+        self.check_seen(3.0, shard_feeds.INBOX_WAIT_S, 0.0)
 
     def test_unreachable_relay_takes_the_time_of_all(self):
         for _ in range(2):
