--- a/tests/test_platform/test_config_paths.py
+++ b/tests/test_platform/test_config_paths.py
@@ -22,7 +22,7 @@
 
 from tests.test_platform import store_path, thin_store  # noqa: E402
 from wisterialug_core.workflow import read_timing, relay_choice  # noqa: E402
-from wisterialug_daemon.http import server  # noqa: E402
+from wisterialug_daemon.http import responses, server  # noqa: E402
 from wisterialug_daemon.workflow import (  # noqa: E402
     clock,
     config_watch,
@@ -200,6 +200,17 @@
             other.begin(Fault.NONE)
             eventlet.sleep(1.0)
 
+    def test_vm_that_does_not_relay_serves_the_watch(self):
+        other = server.WsgiServer(
+            "127.0.0.1",
+            0,
+            lambda _, start: responses.json_response(start, 404, {}),
+        )
+        self.addCleanup(other.close)
+        self.peers = [relay_choice.Peer(f"127.0.0.1:{other.port}", 100_000)]
+        self.add_relay()
+        self.check_after(lambda: self.direct.begin(Fault.SILENT))
+
     def test_answer_that_stalls_is_waited_for(self):
         self.add_relay()
         acked_s = self.write()
