--- a/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/hedged_calls.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/hedged_calls.py
@@ -134,7 +134,9 @@
             for running in self._running:
                 running.stop()
 
-    def _wait_until_quiet(self) -> result.Result[_Answer, errors.StoreError]:
+    def _wait_until_quiet(
+        self,
+    ) -> result.Result[_Answer, errors.StoreError] | None:
         """Waits for an answer until nothing more is expected for now."""
         while True:
             deadlines = [
@@ -151,7 +153,9 @@
             if answer is not None:
                 return answer
 
-    def _wait_for_begun(self) -> result.Result[_Answer, errors.StoreError]:
+    def _wait_for_begun(
+        self,
+    ) -> result.Result[_Answer, errors.StoreError] | None:
         """Waits for answers that have begun; each has a time of its own."""
         while any(running.progress.begun for running in self._running):
             answer = self._next_event(None)
