--- a/tests/test_platform/test_config_paths.py
+++ b/tests/test_platform/test_config_paths.py
@@ -243,6 +243,21 @@
         relayed.begin(Fault.SILENT)
         self.check_in_force(watch, self.write())
 
+    def test_store_that_refuses_all_is_called_by_all_relays_at_once(self):
+        for number in range(7):
+            self.add_relay(nearby=number < 2)
+        acked_s = self.write()
+        watch = self.follow()
+        self.check_in_force(watch, acked_s)
+        self.store.refusing = True
+        eventlet.sleep(1.0)
+        before = len(self.store.requests)
+        eventlet.sleep(3.0)
+        # Five direct calls a second, and five relays in less than a second.
+        self.assertLess(len(self.store.requests) - before, 40)
+        self.store.refusing = False
+        self.check_in_force(watch, self.write())
+
     def test_reads_through_relays_follow_each_other_without_a_pause(self):
         for number in range(7):
             self.add_relay(nearby=number < 2)
