--- a/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/shard_feeds.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/shard_feeds.py
@@ -26,8 +26,8 @@
         sources,
     )
 
-INBOX_WAIT_S = 1.0
-REGISTRY_WAIT_S = 0.6
+# A watch may get no response; cancels must be seen within three seconds.
+WATCH_WAIT_S = 1.0
 # Heartbeats change the list constantly; they are read in batches.
 REGISTRY_SPACING_S = 0.3
 RETRY_S = 0.2
@@ -82,7 +82,7 @@
             outcome = (
                 self._registry.read()
                 if cursor < 0
-                else self._registry.watch(cursor, REGISTRY_WAIT_S)
+                else self._registry.watch(cursor, WATCH_WAIT_S)
             )
             if outcome.is_err():
                 if isinstance(
@@ -170,7 +170,7 @@
             outcome = self._store.watch(
                 records.inbox_table(self._owner.rows.shard),
                 self.inbox_cursor,
-                INBOX_WAIT_S,
+                WATCH_WAIT_S,
             )
             if outcome.is_err():
                 if isinstance(outcome.err_value, errors.HistoryLostError):
