--- a/review/standins2/platform_standin.py
+++ b/review/standins2/platform_standin.py
@@ -9,6 +9,7 @@
 import base64
 import http.server
 import json
+import math
 import socket
 import threading
 import time
@@ -23,6 +24,12 @@
 HOLD_MAX_MS = 10_000
 STOP_MS = 200
 TICK_S = 0.01
+GANG_MS = 3000
+# Longer than a caller waits.
+UNANSWERED_S = 3.0
+CHECKPOINT_MS = 500
+# Silent check-ins after which the platform removes an entry.
+REMOVED_AFTER_S = 3.3
 ROW_LIMIT = 500
 TX_S = 0.003
 MAX_ENTRIES = 100
@@ -261,7 +268,12 @@
         self.name = name
         self.ip = ip
         self.entry = entry
+        # It does not answer while it is down.
         self.down = False
+        # Cut off from the system's machines: calls get no answer.
+        self.cut = False
+        # Is told of each order before anything else.
+        self.on_call: Callable[[str, dict], None] = lambda *_: None
         self._fleet = fleet
         self._lock = threading.Condition()
         self._ended_at_s = 0.0
@@ -311,8 +323,16 @@
         expected = headers.get("X-Expected-Instance")
         if expected and expected != self.name:
             return 421, {}
+        self.on_call(path, fields)
+        if self.cut:
+            time.sleep(UNANSWERED_S)
+            return None
         if path == "/hold":
             return self._hold(fields)
+        return self.carry_out(path, fields)
+
+    def carry_out(self, path: str, fields: dict[str, Any]) -> Answer:
+        """Carries an order out, now or late."""
         with self._lock:
             if fields.get("fencing_token", 0) < self.fence:
                 return self._reject("fence")
@@ -358,7 +378,10 @@
             "ends_s": now_s + self._fleet.duration_s(task),
             "began_s": now_s,
             "how": "done",
+            "saved": fields.get("checkpoint", ""),
         }
+        if self._fleet.gang_size(task):
+            self.running[task]["ends_s"] = math.inf
         self._fleet.note_start(self, task, run, fields)
         return 200, {"clock_ms": self.clock_ms()}
 
@@ -395,12 +418,32 @@
                 "clock_ms": self.clock_ms(),
                 "born": self.born_ms,
                 "running": [
-                    [task, r["run"], "", _percent(r, now_s), 0]
+                    [task, r["run"], r["saved"], _percent(r, now_s), 0]
                     for task, r in self.running.items()
                 ],
                 "finished": self.ended[:ROW_LIMIT],
             }
 
+    def crash(self) -> None:
+        """Ends for good; what runs here ends without a word."""
+        with self._lock:
+            self.down = True
+            self.running = {}
+            self._lock.notify_all()
+
+    def run_of(self, task: str) -> dict[str, Any] | None:
+        """Returns the active run of a task."""
+        with self._lock:
+            return self.running.get(task)
+
+    def end(self, task: str, how: str) -> None:
+        """Ends a run at the next tick."""
+        with self._lock:
+            record = self.running.get(task)
+            if record is not None:
+                record["how"] = how
+                record["ends_s"] = 0.0
+
     def tick(self) -> None:
         """Ends runs whose time has come, and all when the lease lapses."""
         with self._lock:
@@ -413,12 +456,16 @@
                     self.seq += 1
                     run = record["run"]
                     self.highest[task] = max(self.highest.get(task, 0), run)
-                    self.ended.append([self.seq, task, run, how, ""])
+                    self.ended.append(
+                        [self.seq, task, run, how, record["saved"]]
+                    )
                     self._fleet.note_end(self, task, run, how)
                     self._lock.notify_all()
 
 
 def _percent(record: dict[str, Any], now_s: float) -> int:
+    if math.isinf(record["ends_s"]):
+        return record.get("percent", 0)
     length_s = max(0.001, record["ends_s"] - record["began_s"])
     return min(99, int(100 * (now_s - record["began_s"]) / length_s))
 
@@ -433,6 +480,11 @@
         self.ends: list[tuple] = []
         self.store = store
         self._record = record
+        self.checkpoints: list[tuple[str, int, str]] = []
+        # Work of each gang in ms, since when it has not been complete, and its
+        # run.
+        self._gangs: dict[tuple[str, int], list[float]] = {}
+        self._complete: set[tuple[str, int]] = set()
         self._seq = 0
         self._servers = []
         threading.Thread(target=self._tick, daemon=True).start()
@@ -480,7 +532,11 @@
     ) -> None:
         """Records a start that a worker has carried out."""
         self.starts.append((time.monotonic(), worker.name, task, run))
-        self._record(f"start {task} run {run} on {worker.name}")
+        checkpoint = fields.get("checkpoint", "")
+        self.checkpoints.append((task, run, checkpoint))
+        self._record(
+            f"start {task} run {run} on {worker.name} checkpoint '{checkpoint}'"
+        )
 
     def note_end(self, worker: Worker, task: str, run: int, how: str) -> None:
         """Records the end of a run."""
@@ -492,6 +548,75 @@
             time.sleep(TICK_S)
             for worker in list(self.workers.values()):
                 worker.tick()
+            self._tick_gangs()
+
+    def gang_size(self, task: str) -> int:
+        """Returns how many members a task's gang has; 0 without a gang."""
+        if task.split(".", 1)[0] not in self.jobs:
+            return 0
+        step = self._step(task)
+        return step["count"] if step.get("gang") else 0
+
+    def _tick_gangs(self) -> None:
+        """Lets gangs work whose members are all present."""
+        present: dict[tuple[str, int], list[tuple[Worker, str, dict]]] = {}
+        for worker in list(self.workers.values()):
+            for task in list(worker.running):
+                record = worker.run_of(task)
+                if record is not None and self.gang_size(task):
+                    key = task.rpartition(".")[0], record["run"]
+                    present.setdefault(key, []).append((worker, task, record))
+        for key, members in present.items():
+            self._tick_gang(key, members)
+
+    def _tick_gang(
+        self,
+        key: tuple[str, int],
+        members: list[tuple[Worker, str, dict[str, Any]]],
+    ) -> None:
+        """Lets one gang work, and ends it when it is done or not complete."""
+        now_s = time.monotonic()
+        task = members[0][1]
+        gang = self._gangs.get(key)
+        if gang is None:
+            # The value of any member is valid; work goes on from there.
+            saved = max(record["saved"] for _, _, record in members)
+            begun_ms = int(saved[:8], 16) if saved else 0.0
+            gang = self._gangs[key] = [begun_ms, now_s, now_s]
+        worked_ms, since_s, last_s = gang
+        complete = len(members) == self.gang_size(task)
+        if complete:
+            worked_ms += (now_s - last_s) * 1000
+            since_s = now_s
+        gang[:] = worked_ms, since_s, now_s
+        length_ms = self.duration_s(task) * 1000
+        how = ""
+        if worked_ms >= length_ms:
+            how = "done"
+        elif not complete and key in self._complete:
+            how = "broken"
+        elif (now_s - since_s) * 1000 > GANG_MS:
+            how = "alone"
+        if complete:
+            self._complete.add(key)
+        steps = int(worked_ms) // CHECKPOINT_MS
+        for worker, member, record in members:
+            record["percent"] = min(99, int(100 * worked_ms / length_ms))
+            if steps:
+                record["saved"] = f"{steps * CHECKPOINT_MS:08x}{key[0][:8]}"
+            if how:
+                worker.end(member, how)
+
+    def crash(self, name: str) -> None:
+        """Has a worker crash for good; its entry is removed after a while."""
+        self._record(f"worker {name} crashes for good")
+        self.workers[name].crash()
+
+        def remove() -> None:
+            time.sleep(REMOVED_AFTER_S)
+            self.store.remove("servers", name)
+
+        threading.Thread(target=remove, daemon=True).start()
 
     def _beat(self) -> None:
         while True:
