--- a/review/standins2/platform_standin.py
+++ b/review/standins2/platform_standin.py
@@ -379,6 +379,7 @@
             "began_s": now_s,
             "how": "done",
             "saved": fields.get("checkpoint", ""),
+            "given": fields.get("checkpoint", ""),
         }
         if self._fleet.gang_size(task):
             self.running[task]["ends_s"] = math.inf
@@ -584,7 +585,9 @@
             begun_ms = int(saved[:8], 16) if saved else 0.0
             gang = self._gangs[key] = [begun_ms, now_s, now_s]
         worked_ms, since_s, last_s = gang
-        complete = len(members) == self.gang_size(task)
+        # Members that resume from unequal states don't work together.
+        equal = len({record["given"] for _, _, record in members}) == 1
+        complete = equal and len(members) == self.gang_size(task)
         if complete:
             worked_ms += (now_s - last_s) * 1000
             since_s = now_s
@@ -602,7 +605,7 @@
         steps = int(worked_ms) // CHECKPOINT_MS
         for worker, member, record in members:
             record["percent"] = min(99, int(100 * worked_ms / length_ms))
-            if steps:
+            if steps and equal:
                 record["saved"] = f"{steps * CHECKPOINT_MS:08x}{key[0][:8]}"
             if how:
                 worker.end(member, how)
