--- a/review/standins3/world.py
+++ b/review/standins3/world.py
@@ -386,11 +386,11 @@
 class Minion:
     """A minion at one address; it may crash and start again."""
 
-    def __init__(self, world: World, name: str, ip: str, **entry: Any) -> None:
+    def __init__(self, world: World, name: str, ip: str) -> None:
         self.world = world
         self.name = name
         self.address = f"{ip}:{MINION_PORT}"
-        self.zone = entry.get("zone", "z1")
+        self.zone = "z1"
         self.lock = world.lock
         self.life: Life | None = None
         # Checkpoints in its latest report, by task.
@@ -406,11 +406,12 @@
         labels: list[str],
         cpu: int,
         mem_mb: int = 100_000,
+        gpu: int = 0,
         first_beat_s: float = 0.0,
     ) -> None:
         """Begins a life."""
         with self.lock:
-            capacity = {"cpu": cpu, "mem_mb": mem_mb, "gpu": 0}
+            capacity = {"cpu": cpu, "mem_mb": mem_mb, "gpu": gpu}
             born_ms = int(time.time() * 1000)
             self.life = Life(born_ms, labels, capacity)
             self._next_beat_s = time.monotonic() + first_beat_s
@@ -613,7 +614,7 @@
         return None
 
     def _used(self, life: Life) -> dict[str, int]:
-        used = {"cpu": 0, "mem_mb": 0}
+        used = {"cpu": 0, "mem_mb": 0, "gpu": 0}
         for run in life.running.values():
             need = self.world.need_of(run.task)
             used = {name: used[name] + need[name] for name in used}
@@ -896,13 +897,13 @@
 """
 
     def add_minion(
-        self, name: str, labels: list[str], cpu: int, **entry: Any
+        self, name: str, labels: list[str], cpu: int, gpu: int = 0
     ) -> Minion:
         """Adds a minion and begins its first life."""
         ip = f"{self.net}.{100 + len(self.minions)}"
-        minion = Minion(self, name, ip, **entry)
+        minion = Minion(self, name, ip)
         self.minions[name] = minion
-        minion.boot(labels, cpu)
+        minion.boot(labels, cpu, gpu=gpu)
         return minion
 
     def start_fronts(self, within_s: float = 20.0) -> bool:
@@ -942,10 +943,14 @@
         """Returns what a task takes of its minion."""
         parts = task.split(".")
         if parts[0] not in self.jobs:
-            return {"cpu": 0, "mem_mb": 0}
+            return {"cpu": 0, "mem_mb": 0, "gpu": 0}
         step = self.jobs[parts[0]]["steps"][int(parts[2])]
         cpu = 0 if step.get("fills") else step.get("cpu", 0)
-        return {"cpu": cpu, "mem_mb": step.get("mem_mb", 0)}
+        return {
+            "cpu": cpu,
+            "mem_mb": step.get("mem_mb", 0),
+            "gpu": step.get("gpu", 0),
+        }
 
     def work_ms(self, run: Run) -> float | None:
         """Returns how long a run works; None for one that lasts."""
