--- a/review/standins3/world.py
+++ b/review/standins3/world.py
@@ -12,6 +12,7 @@
 import http.client
 import http.server
 import json
+import math
 import os
 import pathlib
 import random
@@ -501,6 +502,9 @@
                     self.end(run, "alone")
                 continue
             run.done_ms += elapsed_s * 1000
+            if run.done_ms >= self.world.fails_ms.get(run.job, math.inf):
+                self.end(run, "failed")
+                continue
             work_ms = self.world.work_ms(run)
             if work_ms is not None and run.done_ms >= work_ms:
                 self.end(run, "done")
@@ -775,6 +779,8 @@
         # Jobs that consumers have sent, by id.
         self.jobs: dict[str, dict] = {}
         self.accepted: dict[str, float] = {}
+        # When the runs of jobs fail that can never be done.
+        self.fails_ms: dict[str, float] = {}
         self.minions: dict[str, Minion] = {}
         self._closing = False
         self._store_server = serve(
