--- a/review/standins3/world.py
+++ b/review/standins3/world.py
@@ -716,14 +716,6 @@
         self.process.kill()
         self.process.wait()
 
-    def rss_mb(self) -> float:
-        """Returns the memory of the process."""
-        status = pathlib.Path(f"/proc/{self.process.pid}/status").read_text()
-        for line in status.splitlines():
-            if line.startswith("VmRSS:"):
-                return int(line.split()[1]) / 1000
-        return 0.0
-
     def events(self, name: str) -> list[dict]:
         """Returns the log lines of an event."""
         lines = self.log_path.read_text(errors="replace").splitlines()
