--- a/review/standins3/cases.py
+++ b/review/standins3/cases.py
@@ -4,6 +4,7 @@
 
 import os
 import pathlib
+import signal
 import sys
 import threading
 import time
@@ -18,6 +19,9 @@
 BROKEN, HELD, CANNOT_RUN = 1, 0, 2
 LIMIT_S = 116.0
 SETTLE_S = 3.0
+# The rule LOST: nothing running for this long.
+NOTHING_S = 3.0
+OPEN_STATES = frozenset({"queued", "running"})
 
 
 class CannotRunError(Exception):
@@ -41,16 +45,22 @@
       make: Makes the deployment.
       play: Plays the case; returns how the rule was broken.
     """
-    world = make()
+    try:
+        world = make()
+    except Exception:  # noqa: BLE001 - reported; the case could not run
+        sys.stdout.write(traceback.format_exc())
+        sys.exit(CANNOT_RUN)
     result = CANNOT_RUN
     lines: list[str] = []
 
-    def give_up() -> None:
-        world.record.add("result", found="out of time")
+    def give_up(*_: object) -> None:
+        world.record.add("result", found="out of time, or told to stop")
         world.record.write(pathlib.Path(folder) / "record.txt")
         world.close()
         os._exit(CANNOT_RUN)
 
+    signal.signal(signal.SIGTERM, give_up)
+    signal.signal(signal.SIGINT, give_up)
     timer = threading.Timer(LIMIT_S, give_up)
     timer.daemon = True
     timer.start()
@@ -92,3 +102,24 @@
     """
     if not condition:
         raise CannotRunError(what)
+
+
+def idle_jobs(
+    world: worlds.World, jobs: list[str], has_room: Callable[[], bool]
+) -> list[str]:
+    """Returns the open jobs of which nothing runs for three seconds.
+
+    Args:
+      world: The deployment.
+      jobs: Jobs that were accepted.
+      has_room: Returns whether there is capacity for them, as the rule asks.
+    """
+    idle = [job for job in jobs if world.state(job) in OPEN_STATES]
+    until_s = time.monotonic() + NOTHING_S
+    while idle and time.monotonic() < until_s:
+        if not has_room():
+            return []
+        idle = [job for job in idle if not world.running(job)]
+        time.sleep(0.05)
+    # One that has ended in between is not open any more.
+    return [job for job in idle if world.state(job) in OPEN_STATES]
--- a/review/standins3/world.py
+++ b/review/standins3/world.py
@@ -92,7 +92,7 @@
     def __init__(self) -> None:
         self.entries: list[dict[str, Any]] = []
         self._begun_s = time.monotonic()
-        self._lock = threading.Lock()
+        self._lock = threading.RLock()
 
     def now_s(self) -> float:
         """Returns the time since the record was begun."""
@@ -983,6 +983,29 @@
             if other.group == run.group and other.run == run.run
         ]
 
+    def free_cpu(self) -> dict[str, int]:
+        """Returns the free processors of each minion that is up."""
+        with self.lock:
+            return {
+                minion.name: minion.life.capacity["cpu"]
+                - sum(
+                    self.need_of(run.task)["cpu"]
+                    for run in minion.life.running.values()
+                )
+                for minion in self.minions.values()
+                if minion.life is not None
+            }
+
+    def used_share(self) -> float:
+        """Returns the part of the service's processors that is in use."""
+        with self.lock:
+            total = sum(
+                minion.life.capacity["cpu"]
+                for minion in self.minions.values()
+                if minion.life is not None
+            )
+            return 1 - sum(self.free_cpu().values()) / total
+
     def note_end(
         self, minion: Minion, run: Run, how: str, saved: str = ""
     ) -> None:
