Log what a count of waiting jobs is added up from, and first runs of jobs

The answer to a count now has a line with the count, the renewal and its age for each shard; an owner logs the run with which a job changes to running, and loan-result says the state that follows.

--- a/packages/wisterialug-core/src/wisterialug_core/workflow/job_table.py
+++ b/packages/wisterialug-core/src/wisterialug_core/workflow/job_table.py
@@ -171,12 +171,18 @@
         task.orders = task.orders.for_next_incarnation()
         self.dirty.add(task.key.job)
 
-    def mark_running(self, task: model.Task) -> None:
-        """Marks the task's job as running: a worker has begun a run."""
+    def mark_running(self, task: model.Task) -> bool:
+        """Marks the task's job as running: a worker has begun a run.
+
+        Returns:
+          Whether the job was queued before.
+        """
         entry = self.jobs[task.key.job]
-        if entry.state == workflow_pb2.JOB_QUEUED:
-            entry.state = workflow_pb2.JOB_RUNNING
-            self.dirty.add(task.key.job)
+        if entry.state != workflow_pb2.JOB_QUEUED:
+            return False
+        entry.state = workflow_pb2.JOB_RUNNING
+        self.dirty.add(task.key.job)
+        return True
 
     def end(
         self, task: model.Task, end: model.RunEnd, checkpoint: str, now_ms: int
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/dispatcher.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/dispatcher.py
@@ -190,7 +190,7 @@
         task.phase = model.Phase.RUNNING
         task.phase_since_s = reply.received_s
         task.started_clock_ms = reply.clock_ms
-        self._owner.shard_jobs.mark_running(task)
+        self._owner.mark_running(task)
         self._owner.session(start.worker).pacing.run_started(task)
 
     def _abandon(
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/intake.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/intake.py
@@ -360,16 +360,33 @@
     def waiting(self, route: routes.Route) -> Response:
         """Returns how many jobs of a queue wait for their first start."""
         total = 0
+        outdated = ""
+        counts = []
         for number in range(self._owners.layout.shards):
             shard = records.shard_name(number)
-            if self._owners.ownership_age_s(shard) > MAX_COUNT_AGE_S:
-                return Response(
-                    Outcome.REFUSED,
-                    retry_after_s=STALE_COUNT_RETRY_AFTER_S,
-                    detail=f"the count of shard {shard} is out of date",
-                )
             ownership = self._owners.ownership(shard)
+            age_s = self._owners.ownership_age_s(shard)
+            counts.append(
+                {
+                    "shard": shard,
+                    "waiting": ownership.waiting.get(route.name, 0),
+                    "renewal": ownership.renewal,
+                    "epoch": ownership.epoch,
+                    "age_s": round(age_s, 3),
+                }
+            )
+            if age_s > MAX_COUNT_AGE_S:
+                outdated = outdated or shard
             total += ownership.waiting.get(route.name, 0)
+        logs.event(
+            "waiting-counted", route=route.name, waiting=total, counts=counts
+        )
+        if outdated:
+            return Response(
+                Outcome.REFUSED,
+                retry_after_s=STALE_COUNT_RETRY_AFTER_S,
+                detail=f"the count of shard {outdated} is out of date",
+            )
         return Response(Outcome.OK, waiting=total)
 
     def _refuse_unread(self, job_id: str) -> Response:
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/lender.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/lender.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from wisterialug_core.schema import workflow_pb2
 from wisterialug_core.workflow import (
     lending,
     loans,
@@ -17,7 +18,6 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Mapping
 
-    from wisterialug_core.schema import workflow_pb2
     from wisterialug_core.workflow import (
         job_entry,
         job_table,
@@ -260,14 +260,16 @@
         new = self._loans.apply_result(result, clock.wall_ms())
         if not new:
             return None
+        entry = self._jobs.jobs[result.job]
         logs.event(
             "loan-result",
             job=result.job,
             shard=self._shard,
             of=result.from_shard,
             tasks=new,
+            state=workflow_pb2.JobState.Name(entry.state),
         )
-        return self._jobs.jobs[result.job]
+        return entry
 
     def is_borrowed(self, entry: job_entry.JobEntry) -> bool:
         """Returns whether a loan row of a borrowed job may still exist.
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/owner.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/owner.py
@@ -246,6 +246,11 @@
         """Stops a task's active run."""
         self._dispatcher.stop(task, why)
 
+    def mark_running(self, task: model.Task) -> None:
+        """Records that a worker has begun a task's active run."""
+        if self.shard_jobs.mark_running(task):
+            owner_logs.log_job_running(task, self.rows.shard)
+
     def end_run(
         self,
         task: model.Task,
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/owner_logs.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/owner_logs.py
@@ -34,6 +34,18 @@
     )
 
 
+def log_job_running(task: model.Task, shard: str) -> None:
+    """Logs that the first run of a job that a shard knows of has begun."""
+    logs.event(
+        "job-running",
+        job=task.key.job,
+        shard=shard,
+        task=task.name,
+        run=task.run,
+        worker=task.worker,
+    )
+
+
 def log_run_end(
     task: model.Task,
     worker: str,
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/worker_session.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/worker_session.py
@@ -301,7 +301,7 @@
             if task.phase in {model.Phase.STARTING, model.Phase.ADOPTED}:
                 task.phase = model.Phase.RUNNING
                 task.phase_since_s = report.reply.received_s
-                self._owner.shard_jobs.mark_running(task)
+                self._owner.mark_running(task)
                 self._owner.wake()
             run_health.check_progress(self._owner, self, task, run, report)
         for stray in self._strays.record(strays):
@@ -327,7 +327,7 @@
                 continue
             page = self._owner.shard_jobs.page_of(task)
             self._acks.add(ended.seq, page, task.orders)
-            self._owner.shard_jobs.mark_running(task)
+            self._owner.mark_running(task)
             run_health.record_end(self._owner, self.worker, ended, task, report)
             run_health.learn_duration(self._owner, self, ended, task, report)
             self._owner.end_run(
