Counts of waiting jobs say what they cover, and are refused beyond that

Cause: the age of a count was that of its arrival. A claim carried the former owner's count into a row that looked new; an owner that did not hear of new jobs renewed what it knew; a watch's answer that arrived late was taken for new; a renewal that the store rejected went out without counts, read as zero; a VM that could not read the layout added up one shard.

An owner's row now says, as versions of the store, up to which accepted job its count goes and when it was made. A reader dates versions by the answers of its own watch, each as of when it was asked. A count that is missing, older than 2 s or without jobs that must be visible is refused, with Retry-After 1; so is any while the layout can't be read. A line says which shard decided.

Whether one of these is what the users saw is not shown.

--- a/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/election.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/election.py
@@ -14,6 +14,7 @@
     awaited_workers,
     evacuations,
     ownership,
+    version_times,
 )
 from wisterialug_daemon import logs, metrics
 from wisterialug_daemon.workflow import (
@@ -65,6 +66,7 @@
 
     Attributes:
       seen_version: Latest version of the store that is known.
+      version_times: When its versions were the newest.
     """
 
     def __init__(
@@ -88,6 +90,7 @@
         # Returns the data centres in which no runs may start now.
         self._evacuated = evacuated
         self.seen_version = 0
+        self.version_times = version_times.VersionTimes()
         self._shards: dict[str, shard_view.ShardView] = {}
         self._add_shards()
         self._owned: dict[str, owner.ShardOwner] = {}
@@ -130,6 +133,11 @@
         """Returns the newest known layout of workers and shards."""
         return self._keeper.layout
 
+    @property
+    def knows_layout(self) -> bool:
+        """Returns whether the layout could be read."""
+        return not self._keeper.damaged
+
     def ownership(self, shard: str) -> workflow_pb2.Ownership:
         """Returns the shard's latest known ownership."""
         return self._shards[shard].ownership
@@ -141,6 +149,8 @@
     def _watch(self) -> None:
         cursor = -1
         while not self._closing:
+            asked_s = clock.now_s()
+            watched = cursor >= 0
             if cursor < 0:
                 outcome = self._read_all()
             else:
@@ -161,6 +171,9 @@
                 self._reachable_since_s = clock.now_s()
             for row in rows:
                 self._apply_row(row)
+            # A read may be behind, where the store has lost its history.
+            if watched:
+                self.version_times.note(cursor, asked_s)
             self._pause_watch()
 
     def _pause_watch(self) -> None:
@@ -311,6 +324,8 @@
             epoch=shard.ownership.epoch + 1,
             renewal=1,
             waiting=shard.ownership.waiting,
+            accepted_version=shard.ownership.accepted_version,
+            counted_version=shard.ownership.counted_version,
         )
         earlier.add_to(ownership, sent_s)
         silent_s = sent_s - shard.changed_s if shard.changed_s else -1
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/intake.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/intake.py
@@ -22,6 +22,7 @@
     admission_control,
     clock,
     errors,
+    queue_counts,
     records,
     refusal_rows,
     row_store,
@@ -47,10 +48,7 @@
 SUBMIT_SHARE = 0.45
 # The same where another VM would get no answer sooner.
 LATEST_SHARE = 0.9
-STALE_COUNT_RETRY_AFTER_S = 1
-# Counts read longer ago are not returned: with the delay before the read, they
-# could be older than the two seconds that callers are promised.
-MAX_COUNT_AGE_S = 1.5
+COUNT_RETRY_AFTER_S = 1
 # An owner silent for this long may have failed; other shards get new jobs.
 OWNER_SUSPECT_S = 1.2
 # Jobs that are always of use have a spare time without end.
@@ -114,9 +112,14 @@
         owners: election.Election,
         vms: members.Members,
         row_bytes: int,
+        accepted_within_ms: int,
     ) -> None:
+        """Creates an intake; its last two arguments are as in the settings."""
         self._store = store
         self._row_bytes = row_bytes
+        self._counts = queue_counts.QueueCounts(
+            owners, accepted_within_ms / 1000
+        )
         self._owners = owners
         self._admission = admission_control.AdmissionControl(owners, vms)
         self._refusals = refusal_rows.RefusalRows(store)
@@ -359,35 +362,14 @@
 
     def waiting(self, route: routes.Route) -> Response:
         """Returns how many jobs of a queue wait for their first start."""
-        total = 0
-        outdated = ""
-        counts = []
-        for number in range(self._owners.layout.shards):
-            shard = records.shard_name(number)
-            ownership = self._owners.ownership(shard)
-            age_s = self._owners.ownership_age_s(shard)
-            counts.append(
-                {
-                    "shard": shard,
-                    "waiting": ownership.waiting.get(route.name, 0),
-                    "renewal": ownership.renewal,
-                    "epoch": ownership.epoch,
-                    "age_s": round(age_s, 3),
-                }
-            )
-            if age_s > MAX_COUNT_AGE_S:
-                outdated = outdated or shard
-            total += ownership.waiting.get(route.name, 0)
-        logs.event(
-            "waiting-counted", route=route.name, waiting=total, counts=counts
-        )
-        if outdated:
+        counted = self._counts.waiting(route)
+        if counted.is_err():
             return Response(
                 Outcome.REFUSED,
-                retry_after_s=STALE_COUNT_RETRY_AFTER_S,
-                detail=f"the count of shard {outdated} is out of date",
+                retry_after_s=COUNT_RETRY_AFTER_S,
+                detail=counted.err_value,
             )
-        return Response(Outcome.OK, waiting=total)
+        return Response(Outcome.OK, waiting=counted.ok_value)
 
     def _refuse_unread(self, job_id: str) -> Response:
         logs.event("job-not-read", job=job_id)
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/owner.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/owner.py
@@ -150,6 +150,11 @@
         self.wake()
         return self.rows.next_epoch
 
+    @property
+    def inbox_version(self) -> int:
+        """Returns the version of the store up to which the inbox is applied."""
+        return self._feeds.inbox_cursor
+
     def renew_soon(self) -> None:
         """Renews the ownership in the next scheduling cycle."""
         self._renewal_wanted = True
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/settings.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/settings.py
@@ -31,6 +31,8 @@
         in force.
       drained_within_ms: Time after which a draining worker gets no runs.
       cancelled_within_ms: Time after which a cancelled job gets no runs.
+      accepted_within_ms: Time until an accepted job is visible to callers: in
+        its state, and in counts of its queue, which may be older by their age.
     """
 
     node: str
@@ -50,6 +52,7 @@
     config_within_ms: int = 2000
     drained_within_ms: int = 2000
     cancelled_within_ms: int = 3000
+    accepted_within_ms: int = 3000
 
     @property
     def page_bytes(self) -> int:
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/shard_recorder.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/shard_recorder.py
@@ -105,9 +105,7 @@
     ) -> result.Result[job_rows.Batch, errors.StoreError]:
         """Commits the renewal and each job of a batch by itself."""
         if renewal is not None:
-            outcome = self._change([], renewal)
-            if _is_rejected(outcome):
-                outcome = self._change([], _essence(renewal))
+            outcome = self._renew(renewal)
             if outcome.is_err():
                 return outcome
         recorded = []
@@ -165,9 +163,23 @@
                 return
         renewal = self._renewal()
         renewal.owner = ""
+        self._renew(renewal)
+
+    def _renew(
+        self, renewal: workflow_pb2.Ownership
+    ) -> result.Result[int, errors.StoreError]:
+        """Commits a renewal, without counts if the store rejects it."""
         outcome = self._change([], renewal)
-        if _is_rejected(outcome):
-            self._change([], _essence(renewal))
+        if not _is_rejected(outcome):
+            return outcome
+        logs.warning(
+            "renewal-not-recorded",
+            shard=self._rows.shard,
+            bytes=renewal.ByteSize(),
+            routes=len(renewal.waiting),
+            error=str(outcome.err_value),
+        )
+        return self._change([], _essence(renewal))
 
     def _effects(self) -> job_rows.RowChange:
         learned = self._owner.interference.factors.to_message()
@@ -199,6 +211,8 @@
             epoch=self._rows.next_epoch,
             renewal=self._rows.ownership.renewal + 1,
             waiting=self._jobs.waiting_by_route(),
+            accepted_version=self._owner.inbox_version,
+            counted_version=max(self._owner.inbox_version, self._rows.version),
             backlog_core_ms=backlog_core_ms,
             capacity_millicores=workers.capacity_millicores(now_s),
             room_millicores=workers.room_millicores(now_s)
@@ -292,7 +306,7 @@
 
 
 def _essence(renewal: workflow_pb2.Ownership) -> workflow_pb2.Ownership:
-    """Returns a renewal without what grows with the work."""
+    """Returns a renewal without what grows with the work, so without counts."""
     return workflow_pb2.Ownership(
         owner=renewal.owner,
         epoch=renewal.epoch,
--- a/packages/wisterialug-standins/src/wisterialug_standins/workflow_demo.py
+++ b/packages/wisterialug-standins/src/wisterialug_standins/workflow_demo.py
@@ -68,7 +68,9 @@
         )
         vms = members.Members(name, own, store)
         self.election = election.Election(cfg, store, fleet, fleet, vms)
-        self.intake = intake.Intake(store, self.election, vms, cfg.row_bytes)
+        self.intake = intake.Intake(
+            store, self.election, vms, cfg.row_bytes, cfg.accepted_within_ms
+        )
         self.election.start()
 
 
--- a/tests/test_daemon/test_workflow_intake.py
+++ b/tests/test_daemon/test_workflow_intake.py
@@ -56,7 +56,11 @@
         vms = workflow_base.members_of("n", self.store)
         owners = election.Election(cfg, self.store, None, None, vms)
         self.intake = intake.Intake(
-            self.store, owners, vms, memory_store.MAX_ROW_BYTES
+            self.store,
+            owners,
+            vms,
+            memory_store.MAX_ROW_BYTES,
+            cfg.accepted_within_ms,
         )
 
     def submit(self, timeout_s=3.0):
--- a/tests/test_daemon/workflow_base.py
+++ b/tests/test_daemon/workflow_base.py
@@ -73,7 +73,11 @@
             self.config.evacuations.current,
         )
         self.intake = intake.Intake(
-            store, self.election, self.members, cfg.row_bytes
+            store,
+            self.election,
+            self.members,
+            cfg.row_bytes,
+            cfg.accepted_within_ms,
         )
         if evacuated_within_ms is not None:
             self.config.start()
--- a/tests/test_platform/test_decoding.py
+++ b/tests/test_platform/test_decoding.py
@@ -266,6 +266,14 @@
         )
         self.assertEqual(3, cfg.ok_value.workflow.remote_slowdown)
 
+    def test_time_until_accepted_jobs_are_counted(self):
+        cfg = self.read(SETTINGS).ok_value
+        self.assertEqual(3000, cfg.workflow.accepted_within_ms)
+        cfg = self.read(
+            SETTINGS.replace("[bounds]", "[bounds]\nvisible_ms = 1500")
+        )
+        self.assertEqual(1500, cfg.ok_value.workflow.accepted_within_ms)
+
     def test_differences_of_a_reload(self):
         old = self.read(SETTINGS).ok_value
         same = self.read(SETTINGS).ok_value
