A job whose lent tasks come back unstarted stays queued

Cause: JobTable.add_result set JOB_RUNNING for any result of another shard, also for one that only gives a borrowed task back, as happens 1.0 s after a loan that found no room. The state said that a result had arrived, not that a run had begun.

A result now says whether a run of the job has begun in the shard that reports it, which that shard knows by its own record of the job; done and failed tasks show it as well, for rows of an earlier version.

--- a/packages/wisterialug-core/src/wisterialug_core/workflow/job_table.py
+++ b/packages/wisterialug-core/src/wisterialug_core/workflow/job_table.py
@@ -279,9 +279,21 @@
         return True
 
     def add_result(
-        self, task: model.Task, record: workflow_pb2.TaskRecord, now_ms: int
+        self,
+        task: model.Task,
+        record: workflow_pb2.TaskRecord,
+        now_ms: int,
+        *,
+        begun: bool,
     ) -> None:
-        """Records what another shard reports of a lent task."""
+        """Records what another shard reports of a lent task.
+
+        Args:
+          task: The task.
+          record: Its record there.
+          now_ms: Unix time.
+          begun: A run of the job has begun there; it may be another task's.
+        """
         entry = self.jobs[task.key.job]
         task.run = max(task.run, record.run)
         task.failures = max(task.failures, record.failures)
@@ -289,8 +301,8 @@
         task.last_run_end_ms = record.last_run_end_ms
         self.restore_evidence(task, record)
         self.dirty.add(task.key.job)
-        if entry.state == workflow_pb2.JOB_QUEUED:
-            entry.state = workflow_pb2.JOB_RUNNING
+        if begun or record.done or record.failures:
+            self.mark_running(task)
         if record.done:
             self._mark_done(entry, task)
         elif (
--- a/packages/wisterialug-core/src/wisterialug_core/workflow/loans.py
+++ b/packages/wisterialug-core/src/wisterialug_core/workflow/loans.py
@@ -90,7 +90,7 @@
                 or not _has_news(record, task)
             ):
                 continue
-            self._jobs.add_result(task, record, now_ms)
+            self._jobs.add_result(task, record, now_ms, begun=result.begun)
             new += 1
         return new
 
@@ -152,6 +152,7 @@
                             from_shard=self._shard,
                             to_shard=entry.job.shard,
                             page=page,
+                            begun=entry.state != workflow_pb2.JOB_QUEUED,
                         )
                     results[page].tasks.append(job_entry.record_of(task))
         return results
--- a/tests/test_core/test_workflow/test_loans.py
+++ b/tests/test_core/test_workflow/test_loans.py
@@ -289,6 +289,29 @@
         self.assertEqual([(0, 1)], self.ready(self.other))
         self.assertEqual(0, self.home.loans.apply_result(result, NOW_MS))
 
+    def test_job_is_shown_as_running_though_its_tasks_came_back_unstarted(self):
+        for index in range(3):
+            self.lend("s0", "s1", index)
+            task = self.other.jobs.task(model.TaskKey("j", 0, 0, index))
+            self.other.loans.give_back(task, NOW_MS)
+        self.assertEqual(3, self.home.loans.apply_result(self.result(), NOW_MS))
+        state = self.home.jobs.jobs["j"].state
+        self.assertEqual(workflow_pb2.JOB_QUEUED, state)
+        self.assertEqual({"": 1}, self.home.jobs.waiting_by_route())
+
+    def test_job_whose_first_run_was_lost_elsewhere_is_running(self):
+        loan = self.lend("s0", "s1", 1)
+        task = self.other.jobs.task(model.TaskKey("j", 0, 0, 1))
+        self.other.jobs.start(task, "w", 1, 0.0)
+        self.other.jobs.mark_running(task)
+        self.other.jobs.end(task, model.RunEnd.LOST, "", NOW_MS)
+        other = self.restored("s1", loan)
+        other.loans.give_back(other.jobs.task(task.key), NOW_MS)
+        result = other.loans.results("j")[0]
+        self.assertEqual(1, self.home.loans.apply_result(result, NOW_MS))
+        state = self.home.jobs.jobs["j"].state
+        self.assertEqual(workflow_pb2.JOB_RUNNING, state)
+
     def test_done_task_stays_done_after_both_owners_are_replaced(self):
         loan = self.lend("s0", "s1", 1)
         self.run_task("s1", 1)
