A claim without an answer is not taken for news of the owner

Callers of a VM that gets no answer to its changes waited for most of their time, and new jobs and loans went to a shard whose owner was dead.

Cause: ShardView.changed_s says when the owner's row was last seen to change, but a claim that failed without an answer set it too, to count the owner's silence anew. So the loads of a dead owner were young again after each claim, AdmissionControl.hears_store took it for an answer of the store, and the shard counted as one with a live owner.

Such claims have a time of their own now, which only the next claim waits for.

--- a/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/election.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/election.py
@@ -244,7 +244,9 @@
             return False
         if not shard.ownership.owner or self._is_earlier_process(shard):
             return True
-        silent_since_s = max(shard.changed_s, self._reachable_since_s)
+        silent_since_s = max(
+            shard.changed_s, shard.unanswered_s, self._reachable_since_s
+        )
         return now_s - silent_since_s > OWNER_TIMEOUT_S
 
     def _is_earlier_process(self, shard: shard_view.ShardView) -> bool:
@@ -343,8 +345,7 @@
             )
             shard.backoff_until_s = sent_s + RETRY_S
             if not isinstance(outcome.err_value, row_store.ConflictError):
-                # The store may fail for the owner too; count its silence anew.
-                shard.changed_s = clock.now_s()
+                shard.unanswered_s = clock.now_s()
             return
         logs.event(
             "shard-taken",
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/shard_view.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/shard_view.py
@@ -21,12 +21,15 @@
 
     Attributes:
       changed_s: When its row was last seen to change.
+      unanswered_s: When this process last tried to claim it and learned nothing
+        of its row: the store may fail for the owner too.
       claim_s: When this process will claim it; 0 if not scheduled.
     """
 
     ownership: workflow_pb2.Ownership
     version: int = 0
     changed_s: float = 0.0
+    unanswered_s: float = 0.0
     claim_s: float = 0.0
     backoff_until_s: float = 0.0
 
--- a/tests/test_daemon/test_workflow_intake.py
+++ b/tests/test_daemon/test_workflow_intake.py
@@ -13,6 +13,8 @@
     election,
     errors,
     intake,
+    records,
+    row_store,
     settings,
     store_writer,
 )
@@ -54,10 +56,10 @@
             stop_within_s=5,
         )
         vms = workflow_base.members_of("n", self.store)
-        owners = election.Election(cfg, self.store, None, None, vms)
+        self.owners = election.Election(cfg, self.store, None, None, vms)
         self.intake = intake.Intake(
             self.store,
-            owners,
+            self.owners,
             vms,
             memory_store.MAX_ROW_BYTES,
             cfg.accepted_within_ms,
@@ -97,6 +99,22 @@
         # The caller has time left to try another VM.
         self.assertLess(took_s, 3.0 * intake.SUBMIT_SHARE)
 
+    def test_claims_without_answer_are_no_answer_of_the_store(self):
+        dead = workflow_pb2.Ownership(owner="dead/1", epoch=1, renewal=1)
+        row = records.owner(records.FIRST_SHARD), dead.SerializeToString()
+        self.store.commit(row_store.Transaction(writes=(row,)), 1.0)
+        self.store.reply = result.Err(errors.StoreUnknownError("lost"))
+        self.addCleanup(self.owners.close)
+        self.owners.start()
+        with eventlet.Timeout(5):
+            while not self.store.commits:
+                eventlet.sleep(0.02)
+        # The next claim fails while the caller waits.
+        eventlet.sleep(1.0)
+        response, took_s = self.submit()
+        self.assertIs(Outcome.UNKNOWN, response.outcome)
+        self.assertLess(took_s, 3.0 * intake.SUBMIT_SHARE)
+
     def test_job_is_found_accepted_after_a_lost_answer(self):
         self.store.lost_reply_rate = 1.0
         eventlet.spawn_after(0.1, setattr, self.store, "lost_reply_rate", 0.0)
