Groups that long-running runs keep without room block no others

Callers saw: a long-running task runs on each worker, and a job of 450 long-running steps, each as large as a worker, waits.

Cause: a round considers the first 400 groups of a long queue, and left out those that no worker could run by comparing their size with the whole worker. A worker's long-running runs leave less for as long as they last. So 400 groups that could get no room were all that each round looked at, and ordinary groups behind them are of the same kind of work. Of the job and the worker table alone, 440 such groups show it.

Change: in a long queue, a group counts if one of its tasks fits on a worker once the finite runs have ended, with the most tasks of its step on a worker. That is exactly what next_to_fit and the trials of suspects ask before they keep a worker, so it is one method of the worker now, and no group is left out that could start in the round or have a worker held.

Result: two new tests of BlockedQueueTest failed before and pass (0 of 5 later jobs started, now 5; a later job behind tasks beyond max_per_worker). All of test_core.test_workflow passed but for its known red test, and test_workflow_scheduler passed.

Open: groups that fit once finite runs have ended, and not now, still block others (gangs, and large finite tasks of a higher priority), as shown by trials on the tables.

--- a/packages/wisterialug-core/src/wisterialug_core/workflow/crash_trials.py
+++ b/packages/wisterialug-core/src/wisterialug_core/workflow/crash_trials.py
@@ -133,7 +133,7 @@
                 w
                 for w in worker_table.eligible_workers(entry, step, usable)
                 if w.report.id not in self._tried
-                and _may_have_room(w, step, task)
+                and w.has_room_after_batch(step, task.group)
             ]
             if options:
                 best = min(options, key=lambda w: self._delay(w, step))
@@ -164,13 +164,3 @@
                 if task is not None and not task.crash_evidence.outlived_start
             ]
         return self._unproven_runs[name]
-
-
-def _may_have_room(
-    worker: worker_table.Worker, step: workflow_pb2.Step, task: model.Task
-) -> bool:
-    """Returns whether a task fits once the finite runs have ended."""
-    placed = worker.step_counts.get(task.group, 0)
-    if step.max_per_worker and placed >= step.max_per_worker:
-        return False
-    return job_table.reserved_amount(step).fits(worker.free_after_batch())
--- a/packages/wisterialug-core/src/wisterialug_core/workflow/placement_queue.py
+++ b/packages/wisterialug-core/src/wisterialug_core/workflow/placement_queue.py
@@ -8,6 +8,7 @@
 
 from typing import TYPE_CHECKING, NamedTuple, TypeVar
 
+from wisterialug_core.decisions import resources
 from wisterialug_core.workflow import job_table, worker_table
 
 if TYPE_CHECKING:
@@ -61,6 +62,9 @@
 ) -> list[Waiting]:
     """Returns the groups that a round considers, in their order.
 
+    In a long queue, groups that can neither start nor have a worker held for
+    them are left out: they may wait for as long as long-running tasks run.
+
     Args:
       queue: All groups that wait, the most urgent first.
       jobs: The shard's jobs.
@@ -70,22 +74,54 @@
     queue = list(queue)
     if len(queue) <= limit:
         return queue
-    fits: dict[tuple, bool] = {}
-
-    def may_run(item: Waiting) -> bool:
-        entry = jobs.jobs[item[0].job]
-        step = entry.job.steps[item[0].step]
-        need = job_table.reserved_amount(step)
-        key = (*kind_of(entry, step), need)
-        if key not in fits:
-            fits[key] = any(
-                need.fits(worker.report.capacity)
-                for worker in worker_table.eligible_workers(entry, step, usable)
-            )
-        return fits[key]
+    rooms = _Rooms(jobs, usable)
 
     def kind(item: Waiting) -> WorkKind:
         entry = jobs.jobs[item[0].job]
         return kind_of(entry, entry.job.steps[item[0].step])
 
-    return bounded(filter(may_run, queue), kind, limit)
+    return bounded(filter(rooms.may_get_room, queue), kind, limit)
+
+
+class _Rooms:
+    """Where waiting groups can get room, for one round."""
+
+    def __init__(
+        self, jobs: job_table.JobTable, usable: list[worker_table.Worker]
+    ) -> None:
+        self._jobs = jobs
+        self._usable = usable
+        # Eligible workers, and the most of each resource that one has.
+        self._eligible: dict[
+            tuple[str, str], tuple[list[worker_table.Worker], resources.Amount]
+        ] = {}
+        self._fits: dict[tuple, bool] = {}
+
+    def may_get_room(self, item: Waiting) -> bool:
+        """Returns whether any of a group fits once finite runs have ended."""
+        group = item[0]
+        entry = self._jobs.jobs[group.job]
+        step = entry.job.steps[group.step]
+        workers, most = self._eligible_workers(entry, step)
+        need = job_table.reserved_amount(step)
+        if not need.fits(most):
+            return False
+        limited = group if step.max_per_worker else None
+        key = (entry.job.policy.service, step.required_label, need, limited)
+        if key not in self._fits:
+            self._fits[key] = any(
+                w.has_room_after_batch(step, group) for w in workers
+            )
+        return self._fits[key]
+
+    def _eligible_workers(
+        self, entry: job_entry.JobEntry, step: workflow_pb2.Step
+    ) -> tuple[list[worker_table.Worker], resources.Amount]:
+        key = (entry.job.policy.service, step.required_label)
+        if key not in self._eligible:
+            workers = worker_table.eligible_workers(entry, step, self._usable)
+            most = resources.ZERO
+            for worker in workers:
+                most = most.at_least(worker.free_after_batch())
+            self._eligible[key] = workers, most
+        return self._eligible[key]
--- a/packages/wisterialug-core/src/wisterialug_core/workflow/worker_rating.py
+++ b/packages/wisterialug-core/src/wisterialug_core/workflow/worker_rating.py
@@ -177,17 +177,8 @@
     It is kept from short tasks, which would fill each gap as it opens and
     starve the larger long-running task.
     """
-    need = job_table.reserved_amount(step)
     return max(
-        (
-            worker
-            for worker in workers
-            if need.fits(worker.free_after_batch())
-            and not (
-                step.max_per_worker
-                and worker.step_counts.get(group, 0) >= step.max_per_worker
-            )
-        ),
+        (w for w in workers if w.has_room_after_batch(step, group)),
         key=lambda worker: worker.free().cpu_millicores,
         default=None,
     )
--- a/packages/wisterialug-core/src/wisterialug_core/workflow/worker_table.py
+++ b/packages/wisterialug-core/src/wisterialug_core/workflow/worker_table.py
@@ -151,6 +151,15 @@
         """Returns what is free once all finite runs have ended."""
         return self.report.capacity.minus(self.long_running_reserved)
 
+    def has_room_after_batch(
+        self, step: workflow_pb2.Step, group: model.GroupKey
+    ) -> bool:
+        """Returns whether a task fits once all finite runs have ended."""
+        return not (
+            step.max_per_worker
+            and self.step_counts.get(group, 0) >= step.max_per_worker
+        ) and job_table.reserved_amount(step).fits(self.free_after_batch())
+
     def fill_room_millicores(self) -> int:
         """Returns the processor time that one more fill run may expect."""
         unused = int(self.serving_millicores * (1 - MAX_SERVING_USE))
--- a/tests/test_core/test_workflow/test_placement_queue.py
+++ b/tests/test_core/test_workflow/test_placement_queue.py
@@ -7,6 +7,7 @@
 from wisterialug_core.workflow import (
     fill_interference,
     job_table,
+    model,
     placement_queue,
     step_placement,
     worker_table,
@@ -42,12 +43,15 @@
     """Groups that can start nowhere keep all later ones from being placed."""
 
     BLOCKED_JOBS = 110
+    WORKERS = 4
     LATER_JOBS = 5
 
     def setUp(self):
         super().setUp()
         self.jobs = job_table.JobTable()
         self.workers = worker_table.WorkerTable()
+        for number in range(self.WORKERS):
+            pools.add_worker(self.workers, f"w{number}")
 
     def add_job(self, name, priority, *steps):
         policy = workflow_pb2.Policy(
@@ -58,14 +62,8 @@
         )
         self.jobs.add(job)
 
-    def later_jobs_placed(self, **blocked):
-        """Returns how many later jobs start behind 440 blocked groups."""
-        for number in range(4):
-            pools.add_worker(self.workers, f"w{number}")
-        for number in range(self.BLOCKED_JOBS):
-            self.add_job(f"a{number:03}", 0, *[step(**blocked)] * 4)
-        for number in range(self.LATER_JOBS):
-            self.add_job(f"z{number}", 2, step())
+    def plan(self):
+        """Returns the names of the jobs of which something starts."""
         placed = step_placement.plan(
             self.jobs,
             self.workers,
@@ -73,8 +71,23 @@
             NOW_S,
             NOW_MS,
         )
-        names = {start.task.key.job for start in placed}
-        return sum(name.startswith("z") for name in names)
+        return {start.task.key.job for start in placed}
+
+    def run_on_each_worker(self, **fields):
+        """Starts a job that has one task on each worker."""
+        self.add_job(
+            "small", 0, step(count=self.WORKERS, max_per_worker=1, **fields)
+        )
+        self.assertEqual({"small"}, self.plan())
+
+    def later_jobs_placed(self, **blocked):
+        """Returns how many later jobs start behind 440 blocked groups."""
+        for number in range(self.BLOCKED_JOBS):
+            self.add_job(f"a{number:03}", 0, *[step(**blocked)] * 4)
+        for number in range(self.LATER_JOBS):
+            lasting = number % 2 == 1 and "long_running" in blocked
+            self.add_job(f"z{number}", 2, step(long_running=lasting))
+        return sum(name.startswith("z") for name in self.plan())
 
     def test_groups_that_no_worker_may_run_block_the_others(self):
         placed = self.later_jobs_placed(required_label="lost-kind")
@@ -89,10 +102,40 @@
         placed = self.later_jobs_placed(required_label="r9")
         self.assertEqual(self.LATER_JOBS, placed)
 
+    def test_long_running_tasks_as_large_as_a_worker_block_the_others(self):
+        self.run_on_each_worker(long_running=True)
+        placed = self.later_jobs_placed(
+            cpu_millicores=16_000, long_running=True
+        )
+        self.assertEqual(self.LATER_JOBS, placed)
+
+    def test_tasks_more_than_allowed_on_each_worker_block_the_others(self):
+        self.later_jobs_placed(
+            cpu_millicores=1,
+            count=self.WORKERS + 1,
+            max_per_worker=1,
+            long_running=True,
+        )
+        self.add_job("later", 2, step())
+        self.assertIn("later", self.plan())
+
+    def test_long_running_tasks_get_the_workers_that_finite_runs_leave(self):
+        # Each worker is held for one of them, as in a short queue.
+        self.run_on_each_worker()
+        placed = self.later_jobs_placed(
+            cpu_millicores=16_000, long_running=True
+        )
+        self.assertEqual(0, placed)
+        small = self.jobs.jobs["small"]
+        for task in small.group(model.GroupKey("small", 0, 0)):
+            self.workers.release(task, task.worker, step())
+            self.jobs.end(task, model.RunEnd.DONE, "", NOW_MS)
+        self.assertEqual({"a000"}, self.plan())
+
 
-def step(cpu_millicores=1000, **fields):
+def step(cpu_millicores=1000, count=1, **fields):
     return workflow_pb2.Step(
-        count=1,
+        count=count,
         cpu_millicores=cpu_millicores,
         memory_mib=100,
         estimate_ms=600,
