Jobs are refused by loads of now only, whenever these arrive

Callers were refused, as the work ahead would take too long, by loads of seconds before: by a VM that had just started, and after an outage of the store.

Cause: admission held a shard's loads for as old as their row's arrival. The first read of a VM brings the row of an owner that may be long dead, and a renewal that was repeated or carried out late brings the loads of its first attempt.

Loads now have the age of the versions that their row names, as counts of waiting jobs do. The log of a submission says this age too.

--- a/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/admission_control.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/admission_control.py
@@ -8,14 +8,19 @@
 from typing import TYPE_CHECKING
 
 from wisterialug_core.workflow import job_admission, layouts, work_ahead
-from wisterialug_daemon.workflow import records
+from wisterialug_daemon.workflow import clock, election, owner, records
 
 if TYPE_CHECKING:
     from wisterialug_core.schema import workflow_pb2
-    from wisterialug_daemon.workflow import election, members
+    from wisterialug_daemon.workflow import members
 
-# Jobs are not refused by a shard's report that is older.
+# Jobs are not refused by a shard's report that has arrived before.
 MAX_REPORT_AGE_S = 1.2
+# Nor by one that was made before: it names versions of the renewal before it,
+# and waits for a watch here, as do the answers by which versions are dated.
+MAX_LOAD_AGE_S = (
+    MAX_REPORT_AGE_S + owner.RENEWAL_INTERVAL_S + 2 * election.WATCH_SPACING_S
+)
 
 
 @dataclasses.dataclass
@@ -46,7 +51,10 @@
         self, job: workflow_pb2.Job, *, returned: bool
     ) -> job_admission.Decision:
         """Decides on a job; it is accepted unless all reports are fresh."""
-        if self.report_age_s() > MAX_REPORT_AGE_S:
+        if (
+            self.report_age_s() > MAX_REPORT_AGE_S
+            or self.load_age_s() > MAX_LOAD_AGE_S
+        ):
             return job_admission.Decision(job_admission.Verdict.ACCEPT)
         ownerships = [self._owners.ownership(name) for name in self._shards()]
         if not all(o.owner and o.services for o in ownerships):
@@ -55,9 +63,21 @@
         return job_admission.decide(job, view, returned=returned)
 
     def report_age_s(self) -> float:
-        """Returns the age of the oldest report."""
+        """Returns the time since the arrival of the oldest report."""
         return max(map(self._owners.ownership_age_s, self._shards()))
 
+    def load_age_s(self) -> float:
+        """Returns the time since the loads were determined, at the most.
+
+        A change of the store may be repeated, carried out or read late: its
+        arrival says nothing of when it was made.
+        """
+        times = self._owners.version_times
+        return clock.now_s() - min(
+            times.newest_at_s(self._owners.ownership(shard).counted_version)
+            for shard in self._shards()
+        )
+
     def hears_store(self) -> bool:
         """Returns whether the store has answered this VM a moment ago."""
         ages = map(self._owners.ownership_age_s, self._shards())
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/intake.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/intake.py
@@ -226,6 +226,9 @@
                 "wait_s": round(decision.wait_s, 2),
                 "spare_s": round(min(decision.spare_s, MAX_LOGGED_S), 2),
                 "report_age_s": round(self._admission.report_age_s(), 2),
+                "load_age_s": round(
+                    min(self._admission.load_age_s(), MAX_LOGGED_S), 2
+                ),
             }
         if response.retry_after_s:
             fields["retry_after_s"] = response.retry_after_s
