A start that was stopped before it was answered counts as no run

A lasting task of a full service lost its turn each time a start of it was given up: it goes before others 5 s after its last run.

Cause: Task.last_run_end_ms says when a run ended, and one that is not known to have begun is none; but this was judged by the phase, and a stop sets the phase STOPPING for starts without an answer, and for such that were never sent, too.

The end of a lost run counts if a response has shown the run. Adopted runs count as before: whether they had begun is not recorded.

--- a/packages/wisterialug-core/src/wisterialug_core/workflow/model.py
+++ b/packages/wisterialug-core/src/wisterialug_core/workflow/model.py
@@ -190,7 +190,11 @@
 
     def note_run_end(self, end: RunEnd, now_ms: int) -> None:
         """Notes when a run ended; one that is not known to have begun is none."""
-        if end is not RunEnd.LOST or self.phase is not Phase.STARTING:
+        # A stop may be ordered before a response shows that the run has begun.
+        unseen = self.phase is Phase.STARTING or (
+            self.phase is Phase.STOPPING and not self.orders.confirmed_s
+        )
+        if end is not RunEnd.LOST or not unseen:
             self.last_run_end_ms = now_ms
 
     def is_active_on(self, worker: str, run: int) -> bool:
--- a/tests/test_core/test_workflow/test_stopped_tasks.py
+++ b/tests/test_core/test_workflow/test_stopped_tasks.py
@@ -191,15 +191,30 @@
 
 
 class RejectedStartTest(testtools.TestCase):
-    def test_rejected_start_counts_as_a_run(self):
-        jobs = job_table.JobTable()
+    def setUp(self):
+        super().setUp()
+        self.jobs = job_table.JobTable()
         job = workflow_pb2.Job(id="1")
         job.steps.add(count=1, cpu_millicores=1000, long_running=True)
-        entry = jobs.add(job)
-        (task,) = entry.group(model.GroupKey("1", 0, 0))
-        jobs.start(task, "w1", 1, 0.0)
-        task.phase = model.Phase.RUNNING
-        jobs.end(task, model.RunEnd.STOPPED, "", 1000)
-        jobs.start(task, "w2", 2, 1.0)
-        jobs.end(task, model.RunEnd.LOST, "", 6000)
-        self.assertEqual(1000, task.last_run_end_ms)
+        entry = self.jobs.add(job)
+        (self.task,) = entry.group(model.GroupKey("1", 0, 0))
+        self.jobs.start(self.task, "w1", 1, 0.0)
+        self.task.phase = model.Phase.RUNNING
+        self.jobs.end(self.task, model.RunEnd.STOPPED, "", 1000)
+        self.jobs.start(self.task, "w2", 2, 1.0)
+
+    def test_rejected_start_counts_as_a_run(self):
+        self.jobs.end(self.task, model.RunEnd.LOST, "", 6000)
+        self.assertEqual(1000, self.task.last_run_end_ms)
+
+    def test_start_that_is_stopped_before_it_is_answered_counts_as_a_run(self):
+        self.task.orders.send(2000)
+        self.task.phase = model.Phase.STOPPING
+        self.jobs.end(self.task, model.RunEnd.LOST, "", 6000)
+        self.assertEqual(1000, self.task.last_run_end_ms)
+
+    def test_run_that_was_seen_counts_though_it_was_stopped_and_lost(self):
+        self.task.orders.confirm(1.5)
+        self.task.phase = model.Phase.STOPPING
+        self.jobs.end(self.task, model.RunEnd.LOST, "", 6000)
+        self.assertEqual(6000, self.task.last_run_end_ms)
