Room that a shard reports again counts again for lasting tasks

Lasting tasks waited in a full shard though another one reported room for them.

Cause: what is lent to a shard is taken off the room that it reports until the next report, but a next report was told by another figure. A shard whose room is the same as before, since a run ended there for each loan, or a lent task was cancelled, never got a new report: each loan was taken off for good.

A loan is taken off until the figure changes, as before, or for two renewals at the most: the next one may have been made before the loan arrived.

Evidence: LastingTaskTest.test_room_that_is_reported_again_is_not_used failed on the commit before (2 of 4 tasks lent after two more renewals with the same room) and passes now; test_lent_steps, 3 tests, test_workflow_shards, 13 and one known red one, and test_returned_loans, 2, pass.

--- a/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/lender.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/lender.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, NamedTuple
 
 from wisterialug_core.schema import workflow_pb2
 from wisterialug_core.workflow import (
@@ -36,6 +36,22 @@
 # Groups of waiting tasks that one check considers; bounds its duration.
 MAX_GROUPS_PER_CHECK = 40
 READ_TIMEOUT_S = 0.5
+# The renewal after a loan may have been made before it arrived; the one after
+# that is made an interval later, which is longer than a loan takes.
+COVERING_RENEWALS = 2
+
+
+class _Lent(NamedTuple):
+    """What was lent to a shard since a report of its room.
+
+    Attributes:
+      reported: Free millicores of that report.
+      renewal: The shard's renewal that was known at the latest loan.
+    """
+
+    reported: int
+    renewal: int
+    millicores: int
 
 
 class Lender:
@@ -67,8 +83,7 @@
         self._waits = waits
         self._checked_s = 0.0
         self._waiting_since_s: dict[model.TaskKey, float] = {}
-        # Free millicores that each shard reported last, and those lent since.
-        self._lent: dict[str, tuple[int, int]] = {}
+        self._lent: dict[str, _Lent] = {}
         # What other shards offer for finite tasks, with their latest renewal.
         self._offers: dict[str, tuple[int, lending.Offer]] = {}
 
@@ -88,10 +103,6 @@
     def _lend_long_running(
         self, now_s: float, others: Mapping[str, workflow_pb2.Ownership]
     ) -> None:
-        free_millicores = {
-            name: ownership.room_millicores
-            for name, ownership in others.items()
-        }
         waiting = self._jobs.waiting_long_running(clock.wall_ms())
         waiting_since_s = {
             task.key: self._waiting_since_s.get(task.key, now_s)
@@ -109,20 +120,30 @@
         for (service, label), tasks in overdue.items():
             eligible = self._eligible(service, label)
             left = {
-                name: self._free_millicores(name, free_millicores[name])
-                for name in eligible & free_millicores.keys()
+                name: self._free_millicores(name, others[name])
+                for name in eligible & others.keys()
             }
             needs = {task.key: need for task, need in tasks}
             for task, shard in lending.choose(tasks, left):
-                reported = free_millicores[shard]
-                lent = reported - self._free_millicores(shard, reported)
-                self._lent[shard] = (reported, lent + needs[task.key])
+                report = others[shard]
+                reported = report.room_millicores
+                lent = reported - self._free_millicores(shard, report)
+                self._lent[shard] = _Lent(
+                    reported, report.renewal, lent + needs[task.key]
+                )
                 self._lend([task], shard)
 
-    def _free_millicores(self, shard: str, reported: int) -> int:
+    def _free_millicores(
+        self, shard: str, report: workflow_pb2.Ownership
+    ) -> int:
         """Returns a shard's reported room less what was lent to it since."""
-        before, lent = self._lent.get(shard, (reported, 0))
-        return reported - (lent if before == reported else 0)
+        reported = report.room_millicores
+        lent = self._lent.get(shard)
+        if lent is None or lent.reported != reported:
+            return reported
+        renewals = report.renewal - lent.renewal
+        is_covered = not 0 <= renewals < COVERING_RENEWALS
+        return reported - (0 if is_covered else lent.millicores)
 
     def _eligible(self, service: str, label: str) -> set[str]:
         """Returns the shards whose workers have a label."""
