A config is confirmed as of when it was asked for

Callers could get 404, which is final, for a route that was in force elsewhere for longer than the bound.

Cause: an answer confirmed the config as of when it began to arrive, up to the wait of the watch and the time until others are asked after it was asked. An answer with a change is made at once, whatever its way takes. With the bound itself that adds up to 0.3 + 0.15 + 1.0 = 1.45 times the bound, 4.35 s of 3 s, if the next watch is silent.

An answer confirms the config as of when it was asked, as it does for evacuations. In calm the age is under two waits, 0.6 of the bound.

Unconfirmed VMs answer 503 instead for routes that they don't know: where the third set of attempts is the first with an answer, the age is 0.3 + 0.3 + 3 x 0.15 = 1.05 of the bound for a moment.

--- a/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/config_watch.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/config_watch.py
@@ -91,7 +91,9 @@
             way = "read" if cursor < 0 else "watch"
             cursor = outcome.ok_value.cursor
             self._apply(outcome.ok_value, way)
-            self._confirm(outcome.ok_value, asked_s, wait_s)
+            # When the answer was made is not known: it may have waited on the
+            # way, or for a VM that stood still.
+            self._confirmed_s = asked_s
             if outcome.ok_value.evacuations is not None:
                 self.evacuations.apply(outcome.ok_value.evacuations, asked_s)
 
@@ -148,19 +150,6 @@
             **fields,
         )
 
-    def _confirm(
-        self, change: sources.ConfigChange, asked_s: float, wait_s: float
-    ) -> None:
-        """Notes as of when the config in force is the newest.
-
-        An answer is as old as its body took to arrive. One that began later
-        than expected may have waited on the way, or for a VM that stood still.
-        """
-        body_s = change.transfer.body_s if change.transfer else 0.0
-        begun_s = clock.now_s() - body_s - change.decode_s
-        expected_s = asked_s + wait_s + self._timing.quiet_s()
-        self._confirmed_s = max(self._confirmed_s, min(begun_s, expected_s))
-
     def _set_connected(self, connected: bool, error: str) -> None:
         if connected != self._connected:
             self._connected = connected
