A read of an earlier state confirms no config

Callers could get 404, which is final, for a route that was in force elsewhere.

Cause: after a loss of its history the store may answer a read by an earlier state. The config of such an answer was ignored, but the answer confirmed the one in force as the newest.

An answer that names a lower version than an earlier one confirms nothing, as for evacuations.

--- a/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/config_watch.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/config_watch.py
@@ -55,6 +55,8 @@
         self._connected = True
         # When the config in force was the newest, as far as is known.
         self._confirmed_s = 0.0
+        # Newest version of the store that an answer has named.
+        self._newest_version = 0
         # The history was lost, and nothing has been read since.
         self._history_lost = False
 
@@ -91,9 +93,12 @@
             way = "read" if cursor < 0 else "watch"
             cursor = outcome.ok_value.cursor
             self._apply(outcome.ok_value, way)
-            # When the answer was made is not known: it may have waited on the
-            # way, or for a VM that stood still.
-            self._confirmed_s = asked_s
+            # A read may be answered by an older state of the store.
+            if cursor >= self._newest_version:
+                self._newest_version = cursor
+                # When the answer was made is not known: it may have waited on
+                # the way, or for a VM that stood still.
+                self._confirmed_s = asked_s
             if outcome.ok_value.evacuations is not None:
                 self.evacuations.apply(outcome.ok_value.evacuations, asked_s)
 
--- a/tests/test_daemon/test_config_watch.py
+++ b/tests/test_daemon/test_config_watch.py
@@ -5,7 +5,7 @@
 import testtools
 
 from wisterialug_core.workflow import read_timing, routes
-from wisterialug_daemon.workflow import config_watch, sources
+from wisterialug_daemon.workflow import config_watch, errors, sources
 
 TIMING = read_timing.ReadTiming(1.0)
 
@@ -28,6 +28,23 @@
         return result.Ok(sources.ConfigChange(None, cursor + 1))
 
 
+class EarlierState(sources.ConfigSource):
+    """A store that loses its history, and is read in an earlier state."""
+
+    def __init__(self):
+        self.reads = 0
+
+    def read(self):
+        self.reads += 1
+        table = routes.RouteTable(1, ())
+        return result.Ok(sources.ConfigChange(table, 6 - self.reads))
+
+    def watch(self, cursor, wait_s):
+        del cursor, wait_s
+        eventlet.sleep(0.5 if self.reads == 1 else 60.0)
+        return result.Err(errors.HistoryLostError())
+
+
 class ConfirmedTest(testtools.TestCase):
     def test_late_answer_of_the_last_watch_confirms_for_too_long(self):
         late_s = TIMING.wait_s + TIMING.quiet_s()
@@ -40,3 +57,14 @@
         self.assertTrue(watch.is_confirmed())
         eventlet.sleep(TIMING.within_s - late_s)
         self.assertFalse(watch.is_confirmed())
+
+    def test_read_of_an_earlier_state_confirms_the_config(self):
+        source = EarlierState()
+        watch = config_watch.ConfigWatch(source, None, TIMING)
+        self.addCleanup(watch.close)
+        watch.start()
+        eventlet.sleep(0.8)
+        self.assertEqual(2, source.reads)
+        self.assertTrue(watch.is_confirmed())
+        eventlet.sleep(TIMING.within_s - 0.8 + 0.2)
+        self.assertFalse(watch.is_confirmed())
