The order of a job's steps costs one pass, not steps times steps

Cause: the sort key of a group walked through all steps of its job, three times (remaining time, later work, critical path), and was kept only until any step of the job ended.

Change: the time that remains after each step, and the work after each step, are worked out for all steps of a repetition in one pass. An end makes only the times of its step and of the steps before it out of date. The critical path and the work after a step never change, and are kept. Whether a job is done is a count. The work after a step is summed over sets of steps as bits, since those after two steps overlap; the result is exact.

The test that counts how often later_core_ms is called keeps its bound; the function now takes the job alone, and counts the job as before.

--- a/packages/wisterialug-core/src/wisterialug_core/workflow/job_entry.py
+++ b/packages/wisterialug-core/src/wisterialug_core/workflow/job_entry.py
@@ -65,6 +65,30 @@
     useful_ms: float
 
 
+@dataclasses.dataclass(slots=True)
+class JobTimes:
+    """What `urgency` has worked out of a job; it is asked for in each round.
+
+    Attributes:
+      groups: Times by group.
+      objective_ms: Time in which the job is expected to be done.
+      later_core_ms: Declared work of the steps after each step.
+      remaining_ms: By repetition and step, the declared time from a step's
+        start to the job's end; None where that is out of date.
+      ended: Groups that have ended, and on which times may still depend.
+    """
+
+    groups: dict[model.GroupKey, GroupTimes] = dataclasses.field(
+        default_factory=dict
+    )
+    objective_ms: float | None = None
+    later_core_ms: list[int] | None = None
+    remaining_ms: dict[int, list[float | None]] = dataclasses.field(
+        default_factory=dict
+    )
+    ended: list[model.GroupKey] = dataclasses.field(default_factory=list)
+
+
 @dataclasses.dataclass(slots=True, eq=False)
 class JobEntry:
     """One job and its tasks.
@@ -78,8 +102,7 @@
       lenders: Shards that have lent tasks of a borrowed job.
       ended_ms: When the job ended, or a borrowed one had nothing left to run.
       pages: Where the records of its tasks are stored.
-      times: What `urgency` has worked out by group; a backlog is sorted many
-        times a second. Holds until the next step ends.
+      times: What `urgency` has worked out of it.
     """
 
     job: workflow_pb2.Job
@@ -96,19 +119,18 @@
     active: int = 0
     lenders: set[str] = dataclasses.field(default_factory=set)
     pages: record_pages.TaskPages = dataclasses.field(init=False)
-    times: dict[model.GroupKey, GroupTimes] = dataclasses.field(
-        default_factory=dict
-    )
+    times: JobTimes = dataclasses.field(default_factory=JobTimes)
     # Times of finished tasks by group, until the group ends.
     step_times: dict[model.GroupKey, stragglers.StepTimes] = dataclasses.field(
         default_factory=dict
     )
-    # Ready groups of a job without repetitions, until the next step ends.
     # The store has rejected its record; no run of it can start.
     unrecorded: bool = False
+    # Ready groups of a job without repetitions, until the next step ends.
     _ready: tuple[model.GroupKey, ...] | None = dataclasses.field(
         default=None, init=False
     )
+    _ended_groups: int = dataclasses.field(default=0, init=False)
 
     def __post_init__(self) -> None:
         self.pages = record_pages.TaskPages(self.job)
@@ -142,7 +164,7 @@
             self.groups[key] = tasks
             self.open_tasks[key] = count
             if not count:
-                self._note_step_end()
+                self._note_step_end(key)
         return tasks
 
     def startable_tasks(
@@ -169,11 +191,13 @@
         self.open_tasks[key] -= 1
         if not self.open_tasks[key]:
             self.step_times.pop(key, None)
-            self._note_step_end()
+            self._note_step_end(key)
 
-    def _note_step_end(self) -> None:
-        self.times.clear()
+    def _note_step_end(self, key: model.GroupKey) -> None:
+        self._ended_groups += 1
         self._ready = None
+        if self.times.remaining_ms:
+            self.times.ended.append(key)
 
     def step_done(self, repetition: int, step: int) -> bool:
         """Returns whether all tasks of a step are done."""
@@ -234,8 +258,4 @@
 
     def all_done(self) -> bool:
         """Returns whether each task of each repetition is done."""
-        return all(
-            self.step_done(repetition, step)
-            for repetition in range(self.repetitions)
-            for step in range(len(self.job.steps))
-        )
+        return self._ended_groups == self.repetitions * len(self.job.steps)
--- a/packages/wisterialug-core/src/wisterialug_core/workflow/urgency.py
+++ b/packages/wisterialug-core/src/wisterialug_core/workflow/urgency.py
@@ -13,6 +13,8 @@
 from wisterialug_core.workflow import job_entry, model
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
     from wisterialug_core.schema import workflow_pb2
 
 # Returns the sort key of a waiting group, the lowest first, from its job, the
@@ -46,28 +48,51 @@
     return max(ends, default=0)
 
 
-def remaining_ms(entry: job_entry.JobEntry, group: model.GroupKey) -> float:
-    """Returns the declared time from the start of a group to the job's end."""
+def _remaining_ms(entry: job_entry.JobEntry, repetition: int) -> list[float]:
+    """Returns the declared time from the start of each step to the job's end."""
     steps = entry.job.steps
     after = [0.0] * len(steps)
     for number in reversed(range(len(steps))):
-        key = model.GroupKey(group.job, group.repetition, number)
-        own = 0.0 if entry.step_done(*key[1:]) else steps[number].estimate_ms
-        after[number] += own
-        for earlier in steps[number].after:
+        step = steps[number]
+        if not entry.step_done(repetition, number):
+            after[number] += step.estimate_ms
+        for earlier in step.after:
             after[earlier] = max(after[earlier], after[number])
-    return after[group.step]
+    return after
+
+
+def later_core_ms(job: workflow_pb2.Job) -> list[int]:
+    """Returns, by step, the declared work of the steps that come after it."""
+    work = [step.count * _task_core_ms(step) for step in job.steps]
+    total = [0] * len(work)
+    # Sets of steps are bits of a number: a sum over each step's set would cost
+    # up to steps x steps. Here it is a count for each binary digit of the work.
+    digits = [
+        (
+            digit,
+            _bits(n for n, core_ms in enumerate(work) if core_ms >> digit & 1),
+        )
+        for digit in range(max(work, default=0).bit_length())
+    ]
+    later: dict[int, int] = {}
+    for number in reversed(range(len(work) if digits else 0)):
+        after = later.pop(number, 0)
+        if after:
+            total[number] = sum(
+                (after & steps).bit_count() << digit for digit, steps in digits
+            )
+        for earlier in job.steps[number].after:
+            later[earlier] = later.get(earlier, 0) | after | 1 << number
+    return total
 
 
-def later_core_ms(job: workflow_pb2.Job, step: int) -> int:
-    """Returns the declared work of the steps that come after a step."""
-    after = {step}
-    total = 0
-    for number, later in enumerate(job.steps):
-        if after.intersection(later.after):
-            after.add(number)
-            total += later.count * _task_core_ms(later)
-    return total
+def _bits(numbers: Iterable[int]) -> int:
+    """Returns the number of which these bits are set."""
+    digits = bytearray()
+    for number in numbers:
+        digits.extend(bytes(max(0, number // 8 + 1 - len(digits))))
+        digits[number // 8] |= 1 << number % 8
+    return int.from_bytes(digits, "little")
 
 
 def size_class(job: workflow_pb2.Job) -> int:
@@ -95,14 +120,33 @@
 def group_times(
     entry: job_entry.JobEntry, group: model.GroupKey
 ) -> job_entry.GroupTimes:
-    """Returns a group's times; they change when a step of its job ends."""
-    times = entry.times.get(group)
+    """Returns a group's times; they change when it or a step after it ends."""
+    if entry.times.ended:
+        _drop_outdated(entry)
+    times = entry.times.groups.get(group)
     if times is None:
         times = _work_out_times(entry, group)
-        entry.times[group] = times
+        entry.times.groups[group] = times
     return times
 
 
+def _drop_outdated(entry: job_entry.JobEntry) -> None:
+    """Drops the times of groups that have ended, and of those before them."""
+    known = entry.times
+    for job, repetition, step in known.ended:
+        remaining_ms = known.remaining_ms.get(repetition)
+        left = [step] if remaining_ms else []
+        while left:
+            number = left.pop()
+            # What is out of date is so for all steps before it.
+            if remaining_ms[number] is not None:
+                remaining_ms[number] = None
+                group = model.GroupKey(job, repetition, number)
+                known.groups.pop(group, None)
+                left += entry.job.steps[number].after
+    known.ended.clear()
+
+
 def _work_out_times(
     entry: job_entry.JobEntry, group: model.GroupKey
 ) -> job_entry.GroupTimes:
@@ -113,13 +157,22 @@
             True, priority, 0, 0, job.accepted_ms, math.inf
         )
     begin_ms = entry.due_ms(group.repetition) or job.accepted_ms
-    objective = objective_ms(job)
-    left_ms = remaining_ms(entry, group)
+    known = entry.times
+    if known.objective_ms is None:
+        known.objective_ms = objective_ms(job)
+    if known.later_core_ms is None:
+        known.later_core_ms = later_core_ms(job)
+    objective = known.objective_ms
+    remaining_ms = known.remaining_ms.get(group.repetition)
+    if remaining_ms is None or remaining_ms[group.step] is None:
+        remaining_ms = _remaining_ms(entry, group.repetition)
+        known.remaining_ms[group.repetition] = remaining_ms
+    left_ms = remaining_ms[group.step]
     return job_entry.GroupTimes(
         False,
         priority,
         _task_core_ms(job.steps[group.step]),
-        later_core_ms(job, group.step),
+        known.later_core_ms[group.step],
         begin_ms + objective - left_ms,
         begin_ms + LATE_FACTOR * objective - left_ms,
     )
--- a/tests/test_core/test_workflow/test_step_placement.py
+++ b/tests/test_core/test_workflow/test_step_placement.py
@@ -335,9 +335,7 @@
         self.patch(
             urgency,
             "later_core_ms",
-            lambda job, step: (
-                counted.append(job.id) or later_core_ms(job, step)
-            ),
+            lambda job: counted.append(job.id) or later_core_ms(job),
         )
         for _ in range(20):
             self.assertEqual([], self.plan())
