The backlog of a shard is summed up beside the other work that it reports

JobTable had grown past 400 lines; the sum of declared work belongs to work_ahead, which reports the rest. No behaviour changes: test_job_table, test_work_ahead, test_large_numbers and test_waiting_groups pass.

--- a/packages/wisterialug-core/src/wisterialug_core/workflow/job_table.py
+++ b/packages/wisterialug-core/src/wisterialug_core/workflow/job_table.py
@@ -19,9 +19,6 @@
 # Cancelled job ids of other shards that are kept: a loan may be read after the
 # cancellation of its job, seconds later where a VM was partitioned.
 MAX_CANCELLED_ELSEWHERE = 10_000
-# Work that is reported of a shard, at the most: declared sizes may be absurd, and
-# a record has 64 bits for their product.
-MAX_CORE_MS = 2**53
 
 
 def reserved_amount(step: workflow_pb2.Step) -> resources.Amount:
@@ -361,20 +358,6 @@
                 counts[entry.job.route] = counts.get(entry.job.route, 0) + 1
         return counts
 
-    def backlog_core_ms(self) -> int:
-        """Returns the declared work of unfinished finite steps."""
-        total = 0
-        for entry in self.open_jobs.values():
-            if entry.final or not entry.home:
-                continue
-            for number, step in enumerate(entry.job.steps):
-                if step.long_running:
-                    continue
-                key = model.GroupKey(entry.job.id, 0, number)
-                count = entry.open_tasks.get(key, step.count)
-                total += count * step.cpu_millicores * step.estimate_ms // 1000
-        return min(total, MAX_CORE_MS)
-
     def waiting_long_running(self, now_ms: int) -> list[model.Task]:
         """Returns the ready long-running tasks that wait.
 
--- a/packages/wisterialug-core/src/wisterialug_core/workflow/work_ahead.py
+++ b/packages/wisterialug-core/src/wisterialug_core/workflow/work_ahead.py
@@ -23,6 +23,11 @@
     from wisterialug_core.workflow import job_entry
 
 
+# Work that is reported of a shard, at the most: declared sizes may be absurd, and
+# a record has 64 bits for their product.
+MAX_CORE_MS = 2**53
+
+
 class WorkKey(NamedTuple):
     """What decides which work goes first."""
 
@@ -47,6 +52,21 @@
     return work
 
 
+def backlog_core_ms(jobs: job_table.JobTable) -> int:
+    """Returns the declared work of a shard's unfinished finite steps."""
+    total = 0
+    for entry in jobs.open_jobs.values():
+        if entry.final or not entry.home:
+            continue
+        for number, step in enumerate(entry.job.steps):
+            if step.long_running:
+                continue
+            key = model.GroupKey(entry.job.id, 0, number)
+            count = entry.open_tasks.get(key, step.count)
+            total += count * step.cpu_millicores * step.estimate_ms // 1000
+    return min(total, MAX_CORE_MS)
+
+
 def service_loads(
     jobs: job_table.JobTable,
     workers: worker_table.WorkerTable,
@@ -75,7 +95,7 @@
                 priority=key.priority,
                 size_class=key.size_class,
                 fills=key.fills,
-                core_ms=int(min(core_ms, job_table.MAX_CORE_MS)),
+                core_ms=int(min(core_ms, MAX_CORE_MS)),
             )
     return list(loads.values())
 
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/shard_recorder.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/shard_recorder.py
@@ -199,7 +199,7 @@
         now_s = clock.now_s()
         now_ms = clock.wall_ms()
         workers = self._owner.shard_workers
-        backlog_core_ms = self._jobs.backlog_core_ms()
+        backlog_core_ms = work_ahead.backlog_core_ms(self._jobs)
         metrics.SHARD_EPOCH.labels(shard).set(self._owner.epoch)
         metrics.SHARD_JOBS.labels(shard).set(len(self._jobs.open_jobs))
         metrics.SHARD_BACKLOG.labels(shard).set(backlog_core_ms / 1000)
