--- a/packages/wisterialug-core/src/wisterialug_core/workflow/version_times.py
+++ b/packages/wisterialug-core/src/wisterialug_core/workflow/version_times.py
@@ -10,6 +10,8 @@
 import bisect
 import math
 
+# Answers that are kept: some twenty seconds of a watch, far more than the age of
+# what is used.
 MAX_KEPT = 64
 
 
