A new owner renews early once it has read the list of workers, not before

Cause: the first renewal was sent before the list of workers was read, so that it listed each worker with a run as one that is waited for; an owner grants no lease to those.

The early renewal comes with the first list. Evidence: NewOwnerTest failed on the commit before (6 of 6 workers in the second renewal after the claim) and passes now; test_waiting_counts passes, 22 tests, among them the one on the time until counts are new after a takeover.

--- a/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/owner.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/owner.py
@@ -197,8 +197,6 @@
         if loaded.is_err():
             self.lose(f"loading failed: {loaded.err_value}")
             return
-        # What others know of the shard is as old as its earlier owner.
-        self.renew_soon()
         self._feeds.start()
         self.greenlets.supervise(self._shared_effects.run)
         try:
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/shard_feeds.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/shard_feeds.py
@@ -135,6 +135,9 @@
         succession.resolve_unlisted(self._owner, self._listed)
         if not self.registry_seen:
             self.registry_seen = True
+            # What others know of the shard is as old as its earlier owner. A
+            # renewal before the list is read would hold all leases back.
+            self._owner.renew_soon()
             for worker in list(self._owner.shard_workers.workers.values()):
                 self._owner.session(worker)
 
--- a/tests/test_daemon/test_withheld_leases.py
+++ b/tests/test_daemon/test_withheld_leases.py
@@ -43,6 +43,26 @@
         self.check_invariants()
 
 
+class NewOwnerTest(AnswersAgainCase):
+    """A takeover in calm, with runs on all workers."""
+
+    def test_next_owner_holds_back_the_leases_of_all_workers(self):
+        self.start_job()
+        version = self.store.version()
+        self.kill_node(self.owner())
+        self.owner()
+        eventlet.sleep(1)
+        changes = self.store.history(records.OWNERS_TABLE, version)
+        renewals = [
+            workflow_pb2.Ownership.FromString(value)
+            for _, ref, value in changes
+            if ref == records.owner("s0")
+        ]
+        held = [len(renewal.awaited) for renewal in renewals]
+        self.assertEqual([0] * len(held), held)
+        self.assertLess(1, max(renewal.renewal for renewal in renewals))
+
+
 class AnswersAgainTest(AnswersAgainCase):
     """A short silence ends no run: the lease outlasts it."""
 
