--- a/packages/wisterialug-core/src/wisterialug_core/workflow/job_entry.py
+++ b/packages/wisterialug-core/src/wisterialug_core/workflow/job_entry.py
@@ -155,6 +155,12 @@
             return 0
         return self.job.start_at_ms + repetition * self.job.interval_ms
 
+    def has_group(self, repetition: int, step: int) -> bool:
+        """Returns whether the job has a step, and runs it this often."""
+        return 0 <= repetition < self.repetitions and 0 <= step < len(
+            self.job.steps
+        )
+
     def group(self, key: model.GroupKey) -> list[model.Task]:
         """Returns the tasks of a group."""
         tasks = self.groups.get(key)
--- a/packages/wisterialug-core/src/wisterialug_core/workflow/job_table.py
+++ b/packages/wisterialug-core/src/wisterialug_core/workflow/job_table.py
@@ -134,10 +134,10 @@
     def task(self, key: model.TaskKey) -> model.Task | None:
         """Returns a task, or None if it does not exist."""
         entry = self.jobs.get(key.job)
-        if entry is None or key.step >= len(entry.job.steps):
+        if entry is None or not entry.has_group(key.repetition, key.step):
             return None
         tasks = entry.group(model.GroupKey(*key[:3]))
-        return tasks[key.index] if key.index < len(tasks) else None
+        return tasks[key.index] if 0 <= key.index < len(tasks) else None
 
     def page_of(self, task: model.Task) -> record_pages.RecordPage:
         """Returns the page that holds a task's record."""
--- a/tests/test_core/test_workflow/test_job_table.py
+++ b/tests/test_core/test_workflow/test_job_table.py
@@ -147,6 +147,16 @@
         self.table.end(task, model.RunEnd.LOST, "", 0)
         self.assertEqual({"": 1}, self.table.waiting_by_route())
 
+    def test_task_that_a_report_makes_up_keeps_its_job_from_ending(self):
+        entry = self.table.add(job(step(1)))
+        for name in ("j.1.0.0", "j.-1.0.0", "j.0.1.0", "j.0.-1.0", "j.0.0.-1"):
+            key = model.parse_task_name(name)
+            self.assertIsNone(self.table.task(key))
+        task = self.table.task(model.parse_task_name("j.0.0.0"))
+        self.table.start(task, "w", 1, 0.0)
+        self.table.end(task, model.RunEnd.DONE, "", 0)
+        self.assertTrue(entry.all_done())
+
     def test_repetitions_become_due_one_by_one(self):
         self.table.add(job(step(1), repeats=3, start_at_ms=100, interval_ms=50))
         self.assertEqual([], self.ready(99))
