--- a/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/intake.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/intake.py
@@ -114,7 +114,7 @@
         row_bytes: int,
         accepted_within_ms: int,
     ) -> None:
-        """Creates an intake; its last two arguments are as in the settings."""
+        """Creates an intake; sizes and times are as in the settings."""
         self._store = store
         self._row_bytes = row_bytes
         self._counts = queue_counts.QueueCounts(
--- a/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/shard_store.py
+++ b/packages/wisterialug-daemon/src/wisterialug_daemon/workflow/shard_store.py
@@ -299,7 +299,7 @@
 
 
 def decode_readable(rows: Iterable[row_store.Row], shard: str) -> Inbox:
-    """Does the same, but leaves out rows that can't be read.
+    """Decodes the inbox rows that concern a shard, as far as they can be read.
 
     Not for a takeover, which removes the records of jobs without a row.
     """
